--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,16 @@
+// Command simhost plays heathshed's decisions on the simulator's wire, on standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"heathshed/internal/simhost"
+)
+
+func main() {
+	if err := simhost.Run(os.Stdin, os.Stdout, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/simhost/settings.go
@@ -0,0 +1,147 @@
+package simhost
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"heathshed/placer"
+)
+
+// settings are the keys of the first message that have a use here; unknown keys are skipped.
+type settings struct {
+	Discovery string `json:"discovery"`
+	Extra     struct {
+		AdmitMemory float64   `json:"admitMemory"`
+		ApartBy     []string  `json:"apartBy"`
+		ClassKind   []int     `json:"classKind"`
+		CoresByKind []float64 `json:"coresByKind"`
+		Counts      string    `json:"counts"`
+		CPUBooking  float64   `json:"cpuBooking"`
+		FadesOver   []float64 `json:"fadesOver"`
+		FreeInList  bool      `json:"freeInList"`
+		FullUpTo    []float64 `json:"fullUpTo"`
+		KindMemory  []float64 `json:"kindMemory"`
+		Precedence  []int     `json:"precedence"`
+		PushesOut   bool      `json:"pushesOut"`
+		QuotaCores  []float64 `json:"quotaCores"`
+		SaysYes     string    `json:"saysYes"`
+		StartBonusS []float64 `json:"startBonusS"`
+		TogetherMax []int     `json:"togetherMax"`
+		YoungLimit  float64   `json:"youngLimit"`
+		CheckAfterS float64   `json:"checkAfterS"`
+	} `json:"extra"`
+	Lanes []struct {
+		Effect     string  `json:"effect"`
+		HardLimitS float64 `json:"hardLimitS"`
+		KeyScope   string  `json:"keyScope"`
+		KeyTTLS    float64 `json:"keyTtlS"`
+		LateValue  float64 `json:"lateValue"`
+		ObjectiveS float64 `json:"objectiveS"`
+		Worth      float64 `json:"worth"`
+	} `json:"lanes"`
+	LoadReport struct {
+		Fields []string `json:"fields"`
+	} `json:"loadReport"`
+	Me     int `json:"me"`
+	MyZone int `json:"myZone"`
+	Orgs   []struct {
+		Share float64 `json:"share"`
+	} `json:"orgs"`
+	OverShareWorth float64 `json:"overShareWorth"`
+	PeersTotal     int     `json:"peersTotal"`
+	Permissions    struct {
+		ConnectTimeoutS float64 `json:"connectTimeoutS"`
+		MaxRetryAfterS  float64 `json:"maxRetryAfterS"`
+		MayDuplicate    bool    `json:"mayDuplicate"`
+		MostTries       int     `json:"mostTries"`
+		RetryAfter      bool    `json:"retryAfter"`
+	} `json:"permissions"`
+	Rules struct {
+		AnswerSlackS   float64 `json:"answerSlackS"`
+		AskWithinS     float64 `json:"askWithinS"`
+		ColdFrom       float64 `json:"coldFrom"`
+		DrainGraceS    float64 `json:"drainGraceS"`
+		FallS          float64 `json:"fallS"`
+		OverloadFactor float64 `json:"overloadFactor"`
+		WarmWithinS    float64 `json:"warmWithinS"`
+	} `json:"rules"`
+}
+
+// at returns the i-th value; as the wire has it for class lists, the last serves for the rest.
+func at[T any](of []T, i int, absent T) T {
+	if len(of) == 0 {
+		return absent
+	}
+	return of[min(i, len(of)-1)]
+}
+
+// parse turns the first message's settings into the module's configuration and the order of report fields.
+func parse(text []byte) (placer.Config, []string, error) {
+	var s settings
+	if err := json.Unmarshal(text, &s); err != nil {
+		return placer.Config{}, nil, fmt.Errorf("settings: %w", err)
+	}
+	x, r, p := &s.Extra, &s.Rules, &s.Permissions
+	c := placer.Config{
+		Self: s.Me, Peers: s.PeersTotal, Zone: s.MyZone,
+		BookCores: x.CPUBooking, BookMemory: x.AdmitMemory, AnswersWhenRunning: x.SaysYes == "running",
+		ListShowsRoom: x.FreeInList, ReportsUse: x.Counts == "used", PushesOut: x.PushesOut,
+		MaxAttempts: p.MostTries, TwoAtOnce: p.MayDuplicate, ConnectWithin: p.ConnectTimeoutS,
+		AnswerSlack: r.AnswerSlackS, DrainGrace: r.DrainGraceS, ColdFrom: r.ColdFrom, WarmWithin: r.WarmWithinS,
+		FallMultiple: r.OverloadFactor, FallWindow: r.FallS, ColdAlways: x.YoungLimit,
+		MustAsk: s.Discovery == "ask", AskWithin: r.AskWithinS, MayDelayOwners: p.RetryAfter,
+		MaxDelay: p.MaxRetryAfterS, SettleAfter: x.CheckAfterS, OverShareWorth: s.OverShareWorth,
+	}
+	for i, l := range s.Lanes {
+		k := placer.Class{
+			Remembers: l.KeyTTLS, Aim: l.ObjectiveS, Deadline: l.HardLimitS, Worth: l.Worth, LateWorth: l.LateValue,
+			StartBonus: at(x.StartBonusS, i, 0), Priority: at(x.Precedence, i, 0), NodeKind: at(x.ClassKind, i, -1),
+			Most: at(x.TogetherMax, i, 0), CalmUpTo: at(x.FullUpTo, i, 0), FadesOver: at(x.FadesOver, i, 0),
+		}
+		switch l.Effect {
+		case "idempotent":
+			k.Effect = placer.Repeatable
+		case "deduplicated":
+			k.Effect = placer.Keyed
+		case "at_most_once":
+			k.Effect = placer.Once
+		default:
+			return c, nil, fmt.Errorf("settings: lanes[%d].effect: %q is not known", i, l.Effect)
+		}
+		var err error
+		if k.Group, err = place(l.KeyScope); err != nil && k.Effect == placer.Keyed {
+			return c, nil, fmt.Errorf("settings: lanes[%d].keyScope: %w", i, err)
+		}
+		if k.Apart, err = place(at(x.ApartBy, i, "none")); err != nil {
+			return c, nil, fmt.Errorf("settings: extra.apartBy[%d]: %w", i, err)
+		}
+		c.Classes = append(c.Classes, k)
+	}
+	if len(x.KindMemory) != len(x.CoresByKind) {
+		return c, nil, fmt.Errorf("settings: extra.kindMemory: %d kinds, extra.coresByKind has %d",
+			len(x.KindMemory), len(x.CoresByKind))
+	}
+	for i := range x.CoresByKind {
+		c.Kinds = append(c.Kinds, placer.Kind{Cores: x.CoresByKind[i], Memory: x.KindMemory[i]})
+	}
+	for i, o := range s.Orgs {
+		c.Tenants = append(c.Tenants, placer.Tenant{Share: o.Share, Cores: at(x.QuotaCores, i, 0)})
+	}
+	return c, s.LoadReport.Fields, nil
+}
+
+func place(name string) (placer.Place, error) {
+	switch name {
+	case "none", "":
+		return placer.NoPlace, nil
+	case "machine":
+		return placer.OneNode, nil
+	case "cell":
+		return placer.Rack, nil
+	case "zone":
+		return placer.Zone, nil
+	case "all":
+		return placer.Everywhere, nil
+	}
+	return placer.NoPlace, fmt.Errorf("%q is no place", name)
+}
--- /dev/null
+++ b/placer/api.go
@@ -0,0 +1,244 @@
+// Package placer decides where long-lived tasks run on shared machines.
+//
+// A Placer is the brain of one scheduler. Hand it events in the order in which they happened, each with a
+// clock that never goes back, and carry out the actions it returns in the order in which they stand. Time is
+// in seconds on any clock. Equal configurations, seeds and events give equal actions. A Placer does no I/O,
+// reads no clock, starts no goroutine and is for one goroutine at a time.
+package placer
+
+// TaskID names one ask for a placing; a task that comes again has a new one.
+type TaskID uint64
+
+// ServiceID names the service that a task belongs to.
+type ServiceID uint64
+
+// NodeID names a machine. It says nothing of where the machine stands.
+type NodeID uint64
+
+// Effect says what a second start of a task would do.
+type Effect uint8
+
+// The effects a class can have.
+const (
+	Repeatable Effect = iota // a second copy does no harm
+	Keyed                    // machines of one group drop repeats for a while
+	Once                     // must never be started twice
+)
+
+// Place is a kind of location that a rule speaks of.
+type Place uint8
+
+// The places: none, one machine, a rack, a zone, or all machines together.
+const (
+	NoPlace Place = iota
+	OneNode
+	Rack
+	Zone
+	Everywhere
+)
+
+// Class is what tasks of one kind have in common.
+type Class struct {
+	Effect     Effect
+	Group      Place   // Keyed: the machines that drop repeats
+	Remembers  float64 // Keyed: for how long they do, from the first doubtful offer
+	Aim        float64 // a first start within this earns full worth
+	Deadline   float64 // how long an owner waits
+	Worth      float64 // worth of a second of full service
+	LateWorth  float64 // part of the start's worth between aim and deadline
+	StartBonus float64 // seconds of service that a start in time is worth
+	Priority   int
+	NodeKind   int     // the kind of machine needed, or -1
+	Apart      Place   // where tasks of a service must not crowd
+	Most       int     // how many of a service may share such a place
+	CalmUpTo   float64 // full service while the cores are busy up to this part
+	FadesOver  float64 // service falls to nothing over this much more
+}
+
+// Kind is a type of machine.
+type Kind struct{ Cores, Memory float64 }
+
+// Tenant is one of those who share the fleet.
+type Tenant struct {
+	Share float64 // its part of the service
+	Cores float64 // cores it may ask for, over all schedulers, within its share
+}
+
+// Config is all that a scheduler is told at its start.
+type Config struct {
+	Self, Peers int // number of this scheduler and how many there are
+	Zone        int // the zone of this scheduler
+	Classes     []Class
+	Kinds       []Kind
+	Tenants     []Tenant
+
+	BookCores, BookMemory float64 // machines accept asks up to these multiples of their size
+	AnswersWhenRunning    bool    // a bind is told when the task runs, not when it was accepted
+	ListShowsRoom         bool    // list entries carry room that nobody asked for
+	ReportsUse            bool    // reports count use, not asks
+	PushesOut             bool    // machines push out lower priorities
+
+	MaxAttempts    int
+	TwoAtOnce      bool    // two attempts of a task may be out together
+	ConnectWithin  float64 // a connection fails after this
+	AnswerSlack    float64 // a final answer counts this long after the deadline
+	DrainGrace     float64
+	ColdFrom       float64 // a machine that just came up starts tasks at this part of its pace or better
+	WarmWithin     float64 // and is warm after this
+	FallMultiple   float64 // a cold machine falls over at this multiple of what it can do
+	FallWindow     float64 // kept up for this long
+	ColdAlways     float64 // offers in a fall window, from all schedulers, that a cold machine always bears
+	MustAsk        bool    // the list comes only when asked for
+	AskWithin      float64 // how long the list may go unasked
+	MayDelayOwners bool    // owners are told when to come again
+	MaxDelay       float64 // and follow it up to this
+	SettleAfter    float64 // how long owners of doubtful tasks wait
+	OverShareWorth float64 // worth of a task beyond its tenant's share
+}
+
+// Task is one ask for a placing.
+type Task struct {
+	ID            TaskID
+	Class, Tenant int
+	Service       ServiceID
+	Cores, Memory float64
+	Deadline      float64 // clock time
+	Again         bool    // it came before
+}
+
+// NodeState is what the list says of a machine.
+type NodeState uint8
+
+// The states of a machine.
+const (
+	Gone NodeState = iota
+	Ready
+	Draining
+)
+
+// Node is one entry of the list of machines.
+type Node struct {
+	ID                    NodeID
+	Zone, Rack, Kind      int
+	State                 NodeState
+	FreeCores, FreeMemory float64 // nobody asked for; may be negative
+	Since                 float64 // clock time of the last start; 0 is long ago
+}
+
+// Report is what a machine says of its load. A value that was not told is NaN.
+type Report struct{ FreeCores, FreeMemory, Busy, Queue float64 }
+
+// ListKind says how a list is meant.
+type ListKind uint8
+
+// The kinds of list.
+const (
+	FullList ListKind = iota
+	CachedList
+	Changes
+	ListFailed
+)
+
+// Result says how an attempt ended.
+type Result uint8
+
+// The results of an attempt. Refused, Unreachable and Moot prove that the task never ran.
+const (
+	Finished Result = iota
+	Errored
+	Refused
+	TimedOut
+	Unreachable
+	Lost
+	Cancelled
+	Moot
+)
+
+// Reason says more about a result.
+type Reason uint8
+
+// The reasons a machine gives.
+const (
+	NoReason Reason = iota
+	NoCores
+	NoMemory
+	TooManyWait
+	NotHere
+	Evicted
+	PushedOut
+	SentAway
+)
+
+// UseKind says what a note on a task measures.
+type UseKind uint8
+
+// The notes on a running task.
+const (
+	Runs UseKind = iota + 1
+	CoresUsed
+	MemoryUsed
+	ServedPart
+	NodeMemory
+)
+
+// EventKind selects what an Event says.
+type EventKind uint8
+
+// The events: Listed has List and Nodes; Arrived has Task; Running has Task and Node (attempt 0 is running
+// there); Bound has ID, Attempt, Node and Elapsed; Ended has ID, Attempt, Node, Result, Reason, Elapsed, Over
+// and Report; Noted has ID, Attempt, Node, Use and Value; Withdrawn has ID; Woken has Token.
+const (
+	Listed EventKind = iota + 1
+	Arrived
+	Running
+	Bound
+	Ended
+	Noted
+	Withdrawn
+	Woken
+)
+
+// Event is something that happened to this scheduler.
+type Event struct {
+	Kind    EventKind
+	ID      TaskID
+	Task    Task
+	Node    NodeID
+	Attempt int
+	Result  Result
+	Reason  Reason
+	Elapsed float64 // since the offer
+	Over    bool    // the ask is over
+	Report  *Report // nil when none came
+	List    ListKind
+	Nodes   []Node // read during Handle only
+	Use     UseKind
+	Value   float64
+	Token   uint64
+}
+
+// ActionKind selects what an Action asks for.
+type ActionKind uint8
+
+// The actions: Offer has Task, Node, Attempt and Until (give up then); Refuse has Task and After (the owner
+// should not come earlier; 0 is no advice); Fail has Task; Wake has Token and After; Watch and Fetch ask for
+// the list, with changes from now on or once.
+const (
+	Offer ActionKind = iota + 1
+	Refuse
+	Fail
+	Wake
+	Watch
+	Fetch
+)
+
+// Action is something the scheduler must do now.
+type Action struct {
+	Kind    ActionKind
+	Task    TaskID
+	Node    NodeID
+	Attempt int
+	Until   float64
+	After   float64
+	Token   uint64
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,754 @@
+package placer
+
+// The interface of this module (configuration, events, actions) stands in api.go; state.go only keeps books.
+// All decisions are here. The ordinary path is an adaption of k-COLLISION: filter, draw two at random, skip
+// crowded ones, offer the emptier, then the other, then wait and draw afresh. See docs/design.md.
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+)
+
+const (
+	crowding    = 2.0  // c of the design: a machine may have c times its part of the pending tasks
+	window      = 2.0  // seconds for which a bind counts as a contender; the design's own figure
+	redraws     = 4    // draws at once when both of a pair are crowded
+	wait        = 1.0  // seconds, mean, before a task that both refused draws afresh; the design's figure
+	noneWait    = 0.3  // of wait, when no machine passes: nothing was refused, so look again sooner
+	jitter      = 0.4  // part of every wait that is random, so that waves of tasks do not come back as waves
+	memoryTight = 0.92 // of memory in use: beyond it machines slow down, at 1 they evict
+	fewTrusted  = 4    // mistrust may leave one in so many of the machines with room, never fewer
+	maxStrikes  = 5    // doubles the time a machine is avoided, at most so many times
+	firstAvoid  = 1.0  // aims for which a machine is avoided after its first strike
+	learn       = 0.1  // weight of a new reading in running means
+	staleReport = 2.0  // windows after which a report says nothing
+	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
+	coldMargin  = 1.1  // fall windows over which own sends to a cold machine are counted: links jitter
+)
+
+// Placer decides for one scheduler.
+type Placer struct {
+	cfg       Config
+	rng       *rand.Rand
+	now       float64
+	born      float64
+	started   bool
+	out       []Action
+	machines  []*machine
+	byID      map[NodeID]*machine
+	tasks     map[TaskID]*ask
+	byService map[ServiceID][]*attempt
+	wakes     map[uint64]wakeup
+	nextWake  uint64
+	pending   int // tasks without an answer
+	pool      []*machine
+	spare     []*machine
+	answers   []average // time to an answer, per class
+	useCores  []average // use over ask, per class
+	useMemory []average
+	shortAim  float64
+
+	listAsked, listHeard float64
+	listFails            int
+	listWake             uint64
+	subscribed           bool
+}
+
+// New returns a Placer, or an error that names what in the configuration cannot be used.
+func New(cfg Config, seed uint64) (*Placer, error) {
+	if len(cfg.Classes) == 0 {
+		return nil, errors.New("placer: config has no classes")
+	}
+	if len(cfg.Kinds) == 0 {
+		return nil, errors.New("placer: config has no kinds of machine")
+	}
+	if cfg.Peers < 1 || cfg.Self < 0 || cfg.MaxAttempts < 1 {
+		return nil, fmt.Errorf("placer: self %d, peers %d, attempts %d: not usable", cfg.Self, cfg.Peers, cfg.MaxAttempts)
+	}
+	p := &Placer{
+		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		byID: map[NodeID]*machine{}, tasks: map[TaskID]*ask{}, byService: map[ServiceID][]*attempt{},
+		wakes: map[uint64]wakeup{}, answers: make([]average, len(cfg.Classes)),
+		useCores: make([]average, len(cfg.Classes)), useMemory: make([]average, len(cfg.Classes)),
+		shortAim: math.Inf(1),
+	}
+	for i, c := range cfg.Classes {
+		if !(c.Aim > 0) || !(c.Deadline > 0) {
+			return nil, fmt.Errorf("placer: class %d: aim %v or deadline %v not usable", i, c.Aim, c.Deadline)
+		}
+		p.shortAim = min(p.shortAim, c.Aim)
+	}
+	for i, k := range cfg.Kinds {
+		if !(k.Cores > 0) || !(k.Memory > 0) {
+			return nil, fmt.Errorf("placer: kind %d: cores %v or memory %v not usable", i, k.Cores, k.Memory)
+		}
+	}
+	return p, nil
+}
+
+// ---- Handle ----
+
+// Handle takes one event and appends what to do now to actions.
+func (p *Placer) Handle(now float64, ev Event, actions []Action) []Action {
+	p.out = actions
+	if !p.started {
+		p.started, p.born = true, now
+		if p.cfg.MustAsk {
+			p.askList()
+		}
+	}
+	p.now = max(now, p.now)
+	switch ev.Kind {
+	case Listed:
+		p.listed(ev)
+	case Arrived:
+		p.arrived(ev.Task)
+	case Running:
+		p.running(ev)
+	case Bound:
+		p.bound(ev)
+	case Ended:
+		p.ended(ev)
+	case Noted:
+		p.noted(ev)
+	case Withdrawn:
+		if t := p.tasks[ev.ID]; t != nil {
+			p.close(t)
+		}
+	case Woken:
+		p.woken(ev.Token)
+	}
+	out := p.out
+	p.out = nil
+	return out
+}
+
+func (p *Placer) arrived(task Task) {
+	if _, twice := p.tasks[task.ID]; twice {
+		return
+	}
+	t := &ask{Task: task, arrived: p.now}
+	p.tasks[task.ID] = t
+	p.pending++
+	// Asks that are no numbers, or name no class, could never be kept books on: an answer at once, never sent.
+	if task.Class < 0 || task.Class >= len(p.cfg.Classes) || !(task.Cores >= 0) || !(task.Memory >= 0) ||
+		math.IsInf(task.Cores, 0) || math.IsInf(task.Memory, 0) || !(task.Deadline > p.now) {
+		p.answer(t)
+		return
+	}
+	p.wakeIn(t, wakeDeadline, task.Deadline+p.cfg.AnswerSlack/2-p.now)
+	p.place(t)
+}
+
+// running takes over a task that runs already. It counts for spread, and its loss is news of its machine.
+func (p *Placer) running(ev Event) {
+	if _, twice := p.tasks[ev.Task.ID]; twice {
+		return
+	}
+	m := p.machine(ev.Node)
+	t := &ask{Task: ev.Task, over: true, placed: true, arrived: p.now}
+	a := &attempt{m: m, t: t, sent: p.now, out: true, bound: true}
+	t.attempts = append(t.attempts, a)
+	p.tasks[t.ID] = t
+	m.services[t.Service]++
+	p.addService(a)
+}
+
+func (p *Placer) woken(token uint64) {
+	w, ok := p.wakes[token]
+	if !ok {
+		return
+	}
+	delete(p.wakes, token)
+	switch w.kind {
+	case wakeList:
+		if token == p.listWake {
+			p.checkList()
+		}
+	case wakeDeadline:
+		// The time-out of an attempt is cut to the deadline and is answered when it comes; this is for
+		// attempts whose outcome does not come, and for tasks that still wait.
+		if !w.t.over {
+			p.answer(w.t)
+		}
+	case wakeRedraw:
+		if w.t.wake == token && !w.t.over && w.t.outstanding() == nil {
+			p.place(w.t)
+		}
+	}
+}
+
+func (p *Placer) wakeIn(t *ask, kind wakeKind, after float64) {
+	p.nextWake++
+	p.wakes[p.nextWake] = wakeup{t, kind}
+	switch kind {
+	case wakeRedraw:
+		t.wake = p.nextWake
+	case wakeList:
+		p.listWake = p.nextWake
+	}
+	p.out = append(p.out, Action{Kind: Wake, Token: p.nextWake, After: max(after, 0)})
+}
+
+// ---- filter ----
+
+// listed brings the books in line with the list. A machine that a full list leaves out is gone; one with a new
+// start time has forgotten what we held against it.
+func (p *Placer) listed(ev Event) {
+	if ev.List == ListFailed {
+		p.subscribed = false
+		p.listFails++
+		back := min(p.cfg.AskWithin/2, p.shortAim*math.Exp2(float64(min(p.listFails, 6))))
+		p.wakeIn(nil, wakeList, p.jittered(back))
+		return
+	}
+	if ev.List != CachedList {
+		p.subscribed, p.listFails, p.listHeard = true, 0, p.now
+	}
+	if ev.List != Changes {
+		for _, m := range p.machines {
+			m.State = Gone
+		}
+	}
+	for _, n := range ev.Nodes {
+		m := p.machine(n.ID)
+		if m.known && n.Since != m.Since {
+			m.strikes, m.avoidUntil, m.fullUntil = 0, 0, 0
+			m.pending, m.reported = m.pending[:0], false
+		}
+		m.Node, m.known = n, true
+		if n.Kind >= 0 && n.Kind < len(p.cfg.Kinds) {
+			m.cores, m.memory = p.cfg.Kinds[n.Kind].Cores, p.cfg.Kinds[n.Kind].Memory
+		}
+	}
+}
+
+// filter returns the machines that t may be offered to now, in list order: those with comfortable room that are
+// trusted, or wider sets where these are too few.
+func (p *Placer) filter(t *ask) []*machine {
+	p.pool, p.spare = p.pool[:0], p.spare[:0]
+	for _, m := range p.machines {
+		if p.legal(t, m) && p.fits(t, m) {
+			p.spare = append(p.spare, m)
+		}
+	}
+	for _, m := range p.spare {
+		if p.trusted(t, m) {
+			p.pool = append(p.pool, m)
+		}
+	}
+	// Mistrust must not leave so few machines that these drown: a cause common to many is no machine's fault.
+	if len(p.pool)*fewTrusted < len(p.spare) || len(p.pool) == 0 {
+		p.pool = append(p.pool[:0], p.spare...)
+	}
+	n := 0
+	for _, m := range p.pool {
+		if p.comfortable(t, m) {
+			p.pool[n] = m
+			n++
+		}
+	}
+	if n > 0 {
+		return p.pool[:n]
+	}
+	return p.pool
+}
+
+// fits says whether neither list nor report nor a fresh refusal shows m as too full for the ask.
+func (p *Placer) fits(t *ask, m *machine) bool {
+	if m.fullUntil > p.now && t.Cores >= m.fullCores && t.Memory >= m.fullMemory {
+		return false
+	}
+	c, mem, heard := p.room(m)
+	if !heard {
+		return true
+	}
+	c += (p.cfg.BookCores - 1) * m.cores
+	mem += (p.cfg.BookMemory - 1) * m.memory
+	return c >= t.Cores && mem >= t.Memory
+}
+
+// room returns cores and memory of m that nobody asked for, own changes that the list cannot show yet included.
+func (p *Placer) room(m *machine) (cores, memory float64, heard bool) {
+	m.dropBefore(p.now - window)
+	switch {
+	case p.cfg.ListShowsRoom && m.known:
+		cores, memory = m.FreeCores, m.FreeMemory
+	case m.reported && !p.cfg.ReportsUse && p.now-m.reportAt < staleReport*window:
+		cores, memory = m.report.FreeCores, m.report.FreeMemory
+	default:
+		return m.cores / 2, m.memory / 2, false
+	}
+	for _, d := range m.pending {
+		cores -= d.cores
+		memory -= d.memory
+	}
+	return cores, memory, true
+}
+
+// comfortable says whether the task would be served well on m as far as use is known.
+func (p *Placer) comfortable(t *ask, m *machine) bool {
+	if !p.cfg.ReportsUse || !m.reported || p.now-m.reportAt > staleReport*window {
+		return true
+	}
+	uc, um := m.cores-m.report.FreeCores, m.memory-m.report.FreeMemory
+	rc, rm := p.ratio(p.useCores, t.Class), p.ratio(p.useMemory, t.Class)
+	uc += t.Cores * rc
+	um += t.Memory * rm
+	for _, d := range m.pending {
+		if d.at > m.reportAt-window/2 {
+			uc += d.cores * rc
+			um += d.memory * rm
+		}
+	}
+	return um <= memoryTight*m.memory && uc <= m.cores
+}
+
+func (p *Placer) ratio(of []average, class int) float64 {
+	if of[class].seen {
+		return of[class].mean
+	}
+	return 1
+}
+
+// ---- draw ----
+
+// draw picks two machines uniformly and puts the emptier first. Crowded ones are passed over.
+func (p *Placer) draw(t *ask) (first, second *machine) {
+	set := p.filter(t)
+	if len(set) == 0 {
+		return nil, nil
+	}
+	k := p.limit(len(set))
+	var a, b *machine
+	for range redraws {
+		i := p.rng.IntN(len(set))
+		a, b = set[i], nil
+		if len(set) > 1 {
+			j := p.rng.IntN(len(set) - 1)
+			if j >= i {
+				j++
+			}
+			b = set[j]
+		}
+		aIn := p.contenders(a) <= k
+		bIn := b != nil && p.contenders(b) <= k
+		switch {
+		case aIn && bIn:
+			return p.emptier(t, a, b)
+		case aIn:
+			return a, nil
+		case bIn:
+			return b, nil
+		}
+	}
+	// Every pair was crowded: holding the task back helps nobody, so the last pair stands, less crowded first.
+	if b != nil && p.contenders(b) < p.contenders(a) {
+		a, b = b, a
+	}
+	return a, b
+}
+
+// limit is k of the design: c times the pending tasks per machine that passed, at least 1. Pending are tasks
+// without an answer and the binds that still count as contenders.
+func (p *Placer) limit(n int) float64 {
+	m := p.pending
+	for _, x := range p.machines {
+		for _, d := range x.pending {
+			if d.bind {
+				m++
+			}
+		}
+	}
+	return max(1, crowding*float64(m)/float64(n))
+}
+
+// contenders counts own open offers to m and own binds within the window.
+func (p *Placer) contenders(m *machine) float64 {
+	m.dropBefore(p.now - window)
+	n := m.open
+	for _, d := range m.pending {
+		if d.bind {
+			n++
+		}
+	}
+	return float64(n)
+}
+
+func (p *Placer) emptier(t *ask, a, b *machine) (first, second *machine) {
+	ra, rb := p.freeAfter(t, a), p.freeAfter(t, b)
+	if ra == rb && p.rng.IntN(2) == 0 || rb > ra {
+		return b, a
+	}
+	return a, b
+}
+
+// freeAfter is the smaller of the free shares of cores and memory once the ask is on m.
+func (p *Placer) freeAfter(t *ask, m *machine) float64 {
+	c, mem, _ := p.room(m)
+	return min((c-t.Cores)/max(m.cores, 1e-9), (mem-t.Memory)/max(m.memory, 1e-9))
+}
+
+// ---- offer ----
+
+// place takes the next step for a task that has no offer out: the other of the pair, a fresh pair, or a wait.
+func (p *Placer) place(t *ask) {
+	if len(t.attempts) >= p.cfg.MaxAttempts || !p.mayRetry(t) {
+		p.answer(t)
+		return
+	}
+	if t.Deadline-p.now <= p.cfg.AnswerSlack {
+		p.answer(t)
+		return
+	}
+	if o := t.other; o != nil {
+		t.other = nil
+		if p.legal(t, o) && p.fits(t, o) {
+			p.offer(t, o)
+			return
+		}
+	}
+	first, second := p.draw(t)
+	if first == nil {
+		p.hold(t, noneWait*wait)
+		return
+	}
+	t.refusals, t.other = 0, second
+	p.offer(t, first)
+}
+
+func (p *Placer) offer(t *ask, m *machine) {
+	a := &attempt{m: m, t: t, sent: p.now, out: true}
+	t.attempts = append(t.attempts, a)
+	m.open++
+	m.pending = append(m.pending, delta{at: p.now, cores: t.Cores, memory: t.Memory})
+	if p.cold(m) {
+		m.coldSends = append(m.coldSends, p.now)
+	}
+	p.addService(a)
+	p.out = append(p.out, Action{Kind: Offer, Task: t.ID, Node: m.ID, Attempt: len(t.attempts) - 1,
+		Until: min(t.Deadline, p.now+p.patience(t))})
+}
+
+// patience is how long an offer may go unanswered.
+func (p *Placer) patience(t *ask) float64 {
+	c, seen := &p.cfg.Classes[t.Class], &p.answers[t.Class]
+	least := c.Aim / 2
+	if p.cfg.AnswersWhenRunning || c.Effect == Once {
+		least = 2 * c.Aim
+	}
+	if !seen.seen {
+		return max(least, c.Deadline/4)
+	}
+	return max(least, seen.mean+4*seen.dev)
+}
+
+// hold waits about so long and then draws afresh; too near the deadline it answers instead.
+func (p *Placer) hold(t *ask, about float64) {
+	after := p.jittered(about)
+	if p.now+after >= t.Deadline-p.cfg.AnswerSlack {
+		after = t.Deadline - p.cfg.AnswerSlack - p.now
+		if after <= 0 {
+			p.answer(t)
+			return
+		}
+	}
+	t.other = nil
+	p.wakeIn(t, wakeRedraw, after)
+}
+
+func (p *Placer) jittered(about float64) float64 {
+	return about * (1 - jitter/2 + jitter*p.rng.Float64())
+}
+
+// ---- outcome ----
+
+func (p *Placer) bound(ev Event) {
+	t := p.tasks[ev.ID]
+	if t == nil || ev.Attempt < 0 || ev.Attempt >= len(t.attempts) {
+		return
+	}
+	a := t.attempts[ev.Attempt]
+	if !a.out || a.bound {
+		return
+	}
+	a.bound = true
+	m := a.m
+	m.open--
+	p.rebook(m, a.sent, t, true)
+	m.services[t.Service]++
+	p.answers[t.Class].add(ev.Elapsed, learn)
+	p.worked(m)
+	t.placed = true
+	p.close(t)
+}
+
+// rebook replaces the entry of an open offer by a bind of now, or takes it out.
+func (p *Placer) rebook(m *machine, sent float64, t *ask, bind bool) {
+	for i, d := range m.pending {
+		if d.at == sent && !d.bind && d.cores == t.Cores && d.memory == t.Memory {
+			m.pending = append(m.pending[:i], m.pending[i+1:]...)
+			break
+		}
+	}
+	if bind {
+		m.pending = append(m.pending, delta{at: p.now, cores: t.Cores, memory: t.Memory, bind: true})
+	}
+}
+
+func (p *Placer) ended(ev Event) {
+	t := p.tasks[ev.ID]
+	if t == nil || ev.Attempt < 0 || ev.Attempt >= len(t.attempts) || !t.attempts[ev.Attempt].out {
+		return
+	}
+	a := t.attempts[ev.Attempt]
+	m := a.m
+	a.out = false
+	p.dropService(a)
+	if ev.Report != nil {
+		m.report, m.reportAt, m.reported = *ev.Report, p.now, true
+	}
+	if a.bound {
+		if m.services[t.Service]--; m.services[t.Service] <= 0 {
+			delete(m.services, t.Service)
+		}
+		m.pending = append(m.pending, delta{at: p.now, cores: -t.Cores, memory: -t.Memory})
+	} else {
+		m.open--
+		p.rebook(m, a.sent, t, false)
+	}
+	p.judge(ev, a)
+	switch ev.Result {
+	case Refused, Unreachable, Moot:
+	default:
+		if !a.bound && t.doubt == nil {
+			t.doubt = a
+		}
+	}
+	if ev.Over || a.bound {
+		p.close(t)
+	}
+	if t.over {
+		p.forget(t)
+		return
+	}
+	p.next(t, ev)
+}
+
+// next decides what follows an attempt that did not place the task.
+func (p *Placer) next(t *ask, ev Event) {
+	if ev.Result == Refused && ev.Reason != NotHere {
+		t.refusals++
+		if t.other == nil && t.refusals >= 2 {
+			p.hold(t, wait)
+			return
+		}
+	}
+	p.place(t)
+}
+
+func (p *Placer) noted(ev Event) {
+	t := p.tasks[ev.ID]
+	if t == nil || t.Class < 0 || t.Class >= len(p.cfg.Classes) {
+		return
+	}
+	switch {
+	case ev.Use == CoresUsed && t.Cores > 0:
+		p.useCores[t.Class].add(ev.Value/t.Cores, learn/4)
+	case ev.Use == MemoryUsed && t.Memory > 0:
+		p.useMemory[t.Class].add(ev.Value/t.Memory, learn/4)
+	}
+}
+
+// ---- health ----
+
+// judge draws what an outcome says of the machine, whatever the cause.
+func (p *Placer) judge(ev Event, a *attempt) {
+	m := a.m
+	switch ev.Result {
+	case Refused:
+		switch ev.Reason {
+		case NoCores, NoMemory, TooManyWait, NoReason:
+			m.fullUntil, m.fullCores, m.fullMemory = p.now+wait, a.t.Cores, a.t.Memory
+			if ev.Reason == NoCores {
+				m.fullMemory = 0
+			} else if ev.Reason == NoMemory {
+				m.fullCores = 0
+			} else {
+				m.fullCores, m.fullMemory = 0, 0
+			}
+		}
+	case Errored, Unreachable, TimedOut:
+		p.strike(m)
+	case Lost:
+		if ev.Reason == NoReason {
+			p.strike(m)
+		}
+	}
+}
+
+// strike avoids a machine for a while, twice as long each time. Strikes of one moment count once: a crash
+// that loses twenty tasks is one event.
+func (p *Placer) strike(m *machine) {
+	if m.strikes > 0 && p.now-m.struckAt < p.shortAim/4 {
+		return
+	}
+	m.strikes = min(m.strikes+1, maxStrikes)
+	m.struckAt = p.now
+	m.avoidUntil = p.now + p.jittered(firstAvoid*p.shortAim*math.Exp2(float64(m.strikes-1)))
+}
+
+// worked takes a strike back, slowly: machines that fail only some starts would else be trusted at each success.
+func (p *Placer) worked(m *machine) {
+	if m.strikes > 0 && p.now >= m.avoidUntil {
+		m.strikes--
+		m.avoidUntil = p.now + p.shortAim/4
+	}
+}
+
+// trusted says whether t may be tried on m: struck machines are tested one offer at a time, and not with tasks
+// whose loss is dearer than a wait.
+func (p *Placer) trusted(t *ask, m *machine) bool {
+	if m.strikes == 0 {
+		return true
+	}
+	return p.now >= m.avoidUntil && m.open == 0 && p.cfg.Classes[t.Class].Effect != Once
+}
+
+// ---- rule guards ----
+
+// legal is the one gate of every offer: it says whether the five rules allow t on m now.
+func (p *Placer) legal(t *ask, m *machine) bool {
+	c := &p.cfg.Classes[t.Class]
+	// Rules 1 and 2: no offer after the end, none beside another, none too many.
+	if t.over || t.Deadline <= p.now || len(t.attempts) >= p.cfg.MaxAttempts || t.outstanding() != nil {
+		return false
+	}
+	// Rule 3: stop at the word of the list; the grace is not used, so late batches cannot break it.
+	if !m.known || m.State != Ready || m.cores <= 0 {
+		return false
+	}
+	if c.NodeKind >= 0 && c.NodeKind != m.Kind {
+		return false
+	}
+	if t.doubt != nil && !(p.mayRetry(t) && (c.Effect == Repeatable || together(c.Group, t.doubt.m, m))) {
+		return false
+	}
+	return p.coldAllows(m) && p.spreadAllows(t, m)
+}
+
+// mayRetry says whether any further attempt may be made, as far as earlier ones go.
+func (p *Placer) mayRetry(t *ask) bool {
+	if t.doubt == nil {
+		return true
+	}
+	switch c := &p.cfg.Classes[t.Class]; c.Effect {
+	case Repeatable:
+		return true
+	case Keyed:
+		return p.now < t.doubt.sent+keepMargin*c.Remembers
+	}
+	return false
+}
+
+// together says whether two machines share a place of the given kind.
+func together(where Place, a, b *machine) bool {
+	switch where {
+	case Everywhere:
+		return true
+	case Zone:
+		return a.known && b.known && a.Node.Zone == b.Node.Zone
+	case Rack:
+		return a.known && b.known && a.Node.Rack == b.Node.Rack
+	}
+	return a == b
+}
+
+func (p *Placer) cold(m *machine) bool {
+	return m.Since > 0 && p.now-m.Since < p.cfg.WarmWithin
+}
+
+// coldAllows keeps this scheduler within its part of the offers that a cold machine always bears. Parts of all
+// peers add up to no more than that, however uneven the traffic. Where there are more peers than offers, turns
+// are taken by the clock: one offer in an own turn, and a window touches at most two turns. A scheduler that has
+// just started does not know what it sent before, so it sends nothing cold until that is out of the window.
+func (p *Placer) coldAllows(m *machine) bool {
+	if !p.cold(m) {
+		return true
+	}
+	span := coldMargin * p.cfg.FallWindow
+	if p.now-p.born < span && p.born-m.Since < p.cfg.WarmWithin && p.born > m.Since {
+		return false
+	}
+	m.dropSends(p.now - span)
+	part := math.Floor(p.cfg.ColdAlways / float64(p.cfg.Peers))
+	if part >= 1 {
+		return float64(len(m.coldSends)) < part
+	}
+	turns := math.Ceil(2 * float64(p.cfg.Peers) / max(p.cfg.ColdAlways, 1e-9))
+	mine := math.Mod(math.Floor(p.now/span), turns) == math.Mod(float64(p.cfg.Self), turns)
+	return p.cfg.ColdAlways >= 2 && mine && len(m.coldSends) == 0
+}
+
+// spreadAllows counts all own attempts and running tasks of the service without an outcome. One on a machine
+// that no list has named might stand anywhere, so it counts everywhere.
+func (p *Placer) spreadAllows(t *ask, m *machine) bool {
+	c := &p.cfg.Classes[t.Class]
+	if c.Apart == NoPlace {
+		return true
+	}
+	n := 1
+	for _, a := range p.byService[t.Service] {
+		if a.m == m || c.Apart != OneNode && (!a.m.known || together(c.Apart, a.m, m)) {
+			n++
+		}
+	}
+	return n <= c.Most
+}
+
+// askList asks for the list with changes from now on, and sees to it that it is asked again if nothing comes.
+func (p *Placer) askList() {
+	p.listAsked = p.now
+	p.out = append(p.out, Action{Kind: Watch})
+	p.wakeIn(nil, wakeList, p.jittered(p.cfg.AskWithin/2))
+}
+
+// checkList asks again after a failure, or when a subscription has been silent for long.
+func (p *Placer) checkList() {
+	quiet := p.cfg.AskWithin / 3
+	if !p.subscribed && p.now-p.listAsked > p.shortAim || p.now-max(p.listHeard, p.listAsked) > quiet {
+		p.askList()
+	} else {
+		p.wakeIn(nil, wakeList, p.jittered(quiet))
+	}
+}
+
+// ---- deadline ----
+
+// answer gives the final answer to a task that is not placed: a refusal where it is known to do no harm, else a
+// failure.
+func (p *Placer) answer(t *ask) {
+	ok := t.outstanding() == nil
+	if ok && t.doubt != nil {
+		c := &p.cfg.Classes[t.Class]
+		ok = c.Effect == Repeatable || c.Effect == Keyed && c.Group == Everywhere
+	}
+	if ok {
+		p.out = append(p.out, Action{Kind: Refuse, Task: t.ID})
+	} else {
+		p.out = append(p.out, Action{Kind: Fail, Task: t.ID})
+	}
+	p.close(t)
+}
+
+// close ends a task: nothing is sent for it any more.
+func (p *Placer) close(t *ask) {
+	if !t.over {
+		t.over = true
+		p.pending--
+	}
+	t.other = nil
+	p.forget(t)
+}
--- /dev/null
+++ b/placer/state.go
@@ -0,0 +1,153 @@
+package placer
+
+// machine is what is known of one node.
+type machine struct {
+	Node
+	cores, memory float64
+	known         bool // named by a list
+	open          int  // own offers without an answer
+	pending       []delta
+	report        Report
+	reportAt      float64
+	reported      bool
+	coldSends     []float64
+	fullUntil     float64 // a refusal stands until then
+	fullCores     float64 // for asks at least this big
+	fullMemory    float64
+	strikes       int
+	struckAt      float64
+	avoidUntil    float64
+	services      map[ServiceID]int // own tasks that run here
+}
+
+// delta is an own change in what is asked of a machine that the list may not show yet.
+type delta struct {
+	at            float64
+	cores, memory float64
+	bind          bool
+}
+
+// dropBefore forgets changes from before the given time.
+func (m *machine) dropBefore(at float64) {
+	i := 0
+	for i < len(m.pending) && m.pending[i].at < at {
+		i++
+	}
+	if i > 0 {
+		m.pending = m.pending[:copy(m.pending, m.pending[i:])]
+	}
+}
+
+// dropSends forgets sends to a cold machine from before the given time.
+func (m *machine) dropSends(at float64) {
+	i := 0
+	for i < len(m.coldSends) && m.coldSends[i] < at {
+		i++
+	}
+	if i > 0 {
+		m.coldSends = m.coldSends[:copy(m.coldSends, m.coldSends[i:])]
+	}
+}
+
+// attempt is one offer of a task, or a task found running.
+type attempt struct {
+	m     *machine
+	t     *ask
+	sent  float64
+	out   bool // no outcome yet
+	bound bool
+}
+
+// ask is a task in hand.
+type ask struct {
+	Task
+	attempts []*attempt
+	other    *machine // the second of the pair
+	refusals int      // of the present pair
+	over     bool     // answered or ended
+	placed   bool
+	doubt    *attempt // the first attempt that may have run and was not bound
+	wake     uint64
+	arrived  float64
+}
+
+func (t *ask) outstanding() *attempt {
+	for _, a := range t.attempts {
+		if a.out {
+			return a
+		}
+	}
+	return nil
+}
+
+// wakeup is what a timer is for.
+type wakeup struct {
+	t    *ask
+	kind wakeKind
+}
+
+type wakeKind uint8
+
+const (
+	wakeRedraw wakeKind = iota + 1
+	wakeDeadline
+	wakeList
+)
+
+// average is a running mean and deviation.
+type average struct {
+	mean, dev float64
+	seen      bool
+}
+
+func (a *average) add(x, weight float64) {
+	if !a.seen {
+		a.mean, a.dev, a.seen = x, x/2, true
+		return
+	}
+	d := x - a.mean
+	a.mean += d * weight
+	if d < 0 {
+		d = -d
+	}
+	a.dev += (d - a.dev) * weight
+}
+
+func (p *Placer) addService(a *attempt) {
+	p.byService[a.t.Service] = append(p.byService[a.t.Service], a)
+}
+
+func (p *Placer) dropService(a *attempt) {
+	s := p.byService[a.t.Service]
+	for i, b := range s {
+		if b == a {
+			s[i] = s[len(s)-1]
+			s[len(s)-1] = nil
+			s = s[:len(s)-1]
+			break
+		}
+	}
+	if len(s) == 0 {
+		delete(p.byService, a.t.Service)
+		return
+	}
+	p.byService[a.t.Service] = s
+}
+
+// machine finds or makes the record of a node.
+func (p *Placer) machine(id NodeID) *machine {
+	m := p.byID[id]
+	if m == nil {
+		m = &machine{Node: Node{ID: id, Kind: -1, Rack: -1, Zone: -1}, services: map[ServiceID]int{}}
+		p.byID[id] = m
+		p.machines = append(p.machines, m)
+	}
+	return m
+}
+
+// forget drops a task that is over and has no attempt without an outcome.
+func (p *Placer) forget(t *ask) {
+	if t.over && t.outstanding() == nil {
+		delete(p.tasks, t.ID)
+	}
+}
