Estimate use: memory that will be used makes a machine full, crowded cores steer

Asks times the learned use ratio now stand for use. Should also hold for any cause of full memory, such as bursts. May hurt where use ratios differ much by service.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -23,6 +23,8 @@
 	maxStrikes  = 5    // doubles the time a machine is avoided, at most so many times
 	firstAvoid  = 1.0  // aims for which a machine is avoided after its first strike
 	learn       = 0.1  // weight of a new reading in running means
+	fadeBorne   = 0.25 // of the fade of a class's service that is borne before a machine counts as too full
+	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
 	coldMargin  = 1.1  // fall windows over which own sends to a cold machine are counted: links jitter
@@ -46,8 +48,8 @@
 	pool      []*machine
 	spare     []*machine
 	answers   []average // time to an answer, per class
-	useCores  []average // use over ask, per class
-	useMemory []average
+	useCores  average   // use over ask, all machines
+	useMemory average
 	shortAim  float64
 
 	listAsked, listHeard float64
@@ -71,7 +73,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		byID: map[NodeID]*machine{}, tasks: map[TaskID]*ask{}, byService: map[ServiceID][]*attempt{},
 		wakes: map[uint64]wakeup{}, answers: make([]average, len(cfg.Classes)),
-		useCores: make([]average, len(cfg.Classes)), useMemory: make([]average, len(cfg.Classes)),
+		useCores: average{mean: 1}, useMemory: average{mean: 1},
 		shortAim: math.Inf(1),
 	}
 	for i, c := range cfg.Classes {
@@ -111,8 +113,6 @@
 		p.bound(ev)
 	case Ended:
 		p.ended(ev)
-	case Noted:
-		p.noted(ev)
 	case Withdrawn:
 		if t := p.tasks[ev.ID]; t != nil {
 			p.close(t)
@@ -225,8 +225,8 @@
 	}
 }
 
-// filter returns the machines that t may be offered to now, in list order: those with comfortable room that are
-// trusted, or wider sets where these are too few.
+// filter returns the machines that t may be offered to now, in list order: those with room that are trusted,
+// or all with room where these are too few.
 func (p *Placer) filter(t *ask) []*machine {
 	p.pool, p.spare = p.pool[:0], p.spare[:0]
 	for _, m := range p.machines {
@@ -243,9 +243,10 @@
 	if len(p.pool)*fewTrusted < len(p.spare) || len(p.pool) == 0 {
 		p.pool = append(p.pool[:0], p.spare...)
 	}
+	// Cores in use beyond what the class bears spoil the service of all that run there.
 	n := 0
 	for _, m := range p.pool {
-		if p.comfortable(t, m) {
+		if m.busyAfter <= 0 {
 			p.pool[n] = m
 			n++
 		}
@@ -265,9 +266,48 @@
 	if !heard {
 		return true
 	}
-	c += (p.cfg.BookCores - 1) * m.cores
-	mem += (p.cfg.BookMemory - 1) * m.memory
-	return c >= t.Cores && mem >= t.Memory
+	if c+(p.cfg.BookCores-1)*m.cores < t.Cores || mem+(p.cfg.BookMemory-1)*m.memory < t.Memory {
+		return false
+	}
+	// Accepting is not serving: memory in use near the size slows all tasks or evicts them, and these come again
+	// and push out others. What is asked stands for what will be used.
+	uc, um := (m.cores-c)*p.useCores.mean, (m.memory-mem)*p.useMemory.mean
+	if m.reported && p.now-m.reportAt < window {
+		rc, rm := 0.0, 0.0
+		for _, d := range m.pending {
+			if d.at > m.reportAt-window/2 {
+				rc += d.cores * p.useCores.mean
+				rm += d.memory * p.useMemory.mean
+			}
+		}
+		if !math.IsNaN(m.report.Busy) {
+			uc = m.report.Busy*m.cores + rc
+		} else if p.cfg.ReportsUse && !math.IsNaN(m.report.FreeCores) {
+			uc = m.cores - m.report.FreeCores + rc
+		}
+		if p.cfg.ReportsUse && !math.IsNaN(m.report.FreeMemory) {
+			um = max(um, m.memory-m.report.FreeMemory+rm) // memory of young tasks still grows
+		}
+	}
+	k := &p.cfg.Classes[t.Class]
+	m.busyAfter = (uc+t.Cores*p.useCores.mean)/m.cores - (k.CalmUpTo + k.FadesOver*fadeBorne)
+	return um+t.Memory*p.useMemory.mean <= memoryTight*m.memory
+}
+
+// learnUse keeps how much of what is asked is used, over all machines heard from.
+func (p *Placer) learnUse(m *machine) {
+	c, mem, heard := p.room(m)
+	if !heard || m.cores-c < m.cores*enoughAsked || m.memory-mem < m.memory*enoughAsked {
+		return
+	}
+	if r := m.report.Busy; !math.IsNaN(r) {
+		p.useCores.add(r*m.cores/(m.cores-c), learn/2)
+	} else if r := m.report.FreeCores; p.cfg.ReportsUse && !math.IsNaN(r) {
+		p.useCores.add((m.cores-r)/(m.cores-c), learn/2)
+	}
+	if r := m.report.FreeMemory; p.cfg.ReportsUse && !math.IsNaN(r) {
+		p.useMemory.add((m.memory-r)/(m.memory-mem), learn/2)
+	}
 }
 
 // room returns cores and memory of m that nobody asked for, own changes that the list cannot show yet included.
@@ -288,31 +328,6 @@
 	return cores, memory, true
 }
 
-// comfortable says whether the task would be served well on m as far as use is known.
-func (p *Placer) comfortable(t *ask, m *machine) bool {
-	if !p.cfg.ReportsUse || !m.reported || p.now-m.reportAt > staleReport*window {
-		return true
-	}
-	uc, um := m.cores-m.report.FreeCores, m.memory-m.report.FreeMemory
-	rc, rm := p.ratio(p.useCores, t.Class), p.ratio(p.useMemory, t.Class)
-	uc += t.Cores * rc
-	um += t.Memory * rm
-	for _, d := range m.pending {
-		if d.at > m.reportAt-window/2 {
-			uc += d.cores * rc
-			um += d.memory * rm
-		}
-	}
-	return um <= memoryTight*m.memory && uc <= m.cores
-}
-
-func (p *Placer) ratio(of []average, class int) float64 {
-	if of[class].seen {
-		return of[class].mean
-	}
-	return 1
-}
-
 // ---- draw ----
 
 // draw picks two machines uniformly and puts the emptier first. Crowded ones are passed over.
@@ -509,6 +524,7 @@
 	p.dropService(a)
 	if ev.Report != nil {
 		m.report, m.reportAt, m.reported = *ev.Report, p.now, true
+		p.learnUse(m)
 	}
 	if a.bound {
 		if m.services[t.Service]--; m.services[t.Service] <= 0 {
@@ -549,19 +565,6 @@
 	p.place(t)
 }
 
-func (p *Placer) noted(ev Event) {
-	t := p.tasks[ev.ID]
-	if t == nil || t.Class < 0 || t.Class >= len(p.cfg.Classes) {
-		return
-	}
-	switch {
-	case ev.Use == CoresUsed && t.Cores > 0:
-		p.useCores[t.Class].add(ev.Value/t.Cores, learn/4)
-	case ev.Use == MemoryUsed && t.Memory > 0:
-		p.useMemory[t.Class].add(ev.Value/t.Memory, learn/4)
-	}
-}
-
 // ---- health ----
 
 // judge draws what an outcome says of the machine, whatever the cause.
--- a/placer/state.go
+++ b/placer/state.go
@@ -14,6 +14,7 @@
 	fullUntil     float64 // a refusal stands until then
 	fullCores     float64 // for asks at least this big
 	fullMemory    float64
+	busyAfter     float64 // of its cores, beyond what the ask bears; scratch of the filter
 	strikes       int
 	struckAt      float64
 	avoidUntil    float64
