--- a/placer/placer.go
+++ b/placer/placer.go
@@ -19,7 +19,7 @@
 	noneWait    = 0.3  // of wait, when no machine passes: nothing was refused, so look again sooner
 	jitter      = 0.4  // part of every wait that is random, so that waves of tasks do not come back as waves
 	memoryTight = 0.92 // of memory in use: beyond it machines slow down, at 1 they evict
-	fewTrusted  = 4    // mistrust may leave one in so many of the allowed machines, never fewer
+	fewTrusted  = 4    // mistrust may leave one in so many of the machines with room, never fewer
 	maxStrikes  = 5    // doubles the time a machine is avoided, at most so many times
 	firstAvoid  = 1.0  // aims for which a machine is avoided after its first strike
 	learn       = 0.1  // weight of a new reading in running means
@@ -229,27 +229,18 @@
 // or all with room where these are too few.
 func (p *Placer) filter(t *ask) []*machine {
 	p.pool, p.spare = p.pool[:0], p.spare[:0]
-	allowed, trusted := 0, 0
 	for _, m := range p.machines {
-		if !p.legal(t, m) {
-			continue
-		}
-		allowed++
-		ok, room := p.trusted(t, m), p.fits(t, m)
-		if ok {
-			trusted++
-		}
-		if room {
+		if p.legal(t, m) && p.fits(t, m) {
 			p.spare = append(p.spare, m)
-			if ok {
-				p.pool = append(p.pool, m)
-			}
+		}
+	}
+	for _, m := range p.spare {
+		if p.trusted(t, m) {
+			p.pool = append(p.pool, m)
 		}
 	}
 	// Mistrust must not leave so few machines that these drown: a cause common to many is no machine's fault.
-	// Room does not count here: a machine that died shows the room of the tasks it lost, and would draw all
-	// offers as soon as the sound ones are full.
-	if trusted*fewTrusted < allowed {
+	if len(p.pool)*fewTrusted < len(p.spare) || len(p.pool) == 0 {
 		p.pool = append(p.pool[:0], p.spare...)
 	}
 	// Cores in use beyond what the class bears spoil the service of all that run there.
