Pass over pairs that do not run the service where fresh starts are slow

Cause: a start takes several times the work where the machine lacks the program, so most starts missed the aim. The paper assumes equal bins; a machine with the program is not equal. A pair without one is redrawn like a crowded one; draws stay uniform over all that pass, and after some draws any pair stands. Covers any cause of slow fresh starts, such as voided programs or cold machines; might hurt by crowding a service on few machines.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -14,7 +14,7 @@
 const (
 	crowding    = 2.0  // c of the design: a machine may have c times its part of the pending tasks
 	window      = 2.0  // seconds for which a bind counts as a contender; the design's own figure
-	redraws     = 4    // draws at once when both of a pair are crowded
+	redraws     = 8    // draws at once when both of a pair are passed over
 	wait        = 1.0  // seconds, mean, before a task that both refused draws afresh; the design's figure
 	noneWait    = 0.3  // of wait, when no machine passes: nothing was refused, so look again sooner
 	jitter      = 0.4  // part of every wait that is random, so that waves of tasks do not come back as waves
@@ -48,6 +48,7 @@
 	pool      []*machine
 	spare     []*machine
 	answers   []average // time to an answer, per class
+	fresh     []average // time to a start on a machine that held no own task of the service, per class
 	useCores  average   // use over ask, all machines
 	useMemory average
 	shortAim  float64
@@ -72,7 +73,7 @@
 	p := &Placer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		byID: map[NodeID]*machine{}, tasks: map[TaskID]*ask{}, byService: map[ServiceID][]*attempt{},
-		wakes: map[uint64]wakeup{}, answers: make([]average, len(cfg.Classes)),
+		wakes: map[uint64]wakeup{}, answers: make([]average, len(cfg.Classes)), fresh: make([]average, len(cfg.Classes)),
 		useCores: average{mean: 1}, useMemory: average{mean: 1},
 		shortAim: math.Inf(1),
 	}
@@ -113,6 +114,11 @@
 		p.bound(ev)
 	case Ended:
 		p.ended(ev)
+	case Noted:
+		if t := p.tasks[ev.ID]; t != nil && ev.Use == Runs && ev.Attempt >= 0 && ev.Attempt < len(t.attempts) &&
+			t.attempts[ev.Attempt].fresh {
+			p.fresh[t.Class].add(p.now-t.attempts[ev.Attempt].sent, learn)
+		}
 	case Withdrawn:
 		if t := p.tasks[ev.ID]; t != nil {
 			p.close(t)
@@ -337,6 +343,7 @@
 		return nil, nil
 	}
 	k := p.limit(len(set))
+	holders := p.slowFresh(t) && p.anyHolds(t, set)
 	var a, b *machine
 	for range redraws {
 		i := p.rng.IntN(len(set))
@@ -348,8 +355,8 @@
 			}
 			b = set[j]
 		}
-		aIn := p.contenders(a) <= k
-		bIn := b != nil && p.contenders(b) <= k
+		aIn := p.contenders(a) <= k && (!holders || a.services[t.Service] > 0)
+		bIn := b != nil && p.contenders(b) <= k && (!holders || b.services[t.Service] > 0)
 		switch {
 		case aIn && bIn:
 			return p.emptier(t, a, b)
@@ -366,6 +373,23 @@
 	return a, b
 }
 
+// slowFresh says whether a start on a machine without the service's program is likely to miss the aim, as far as
+// seen. Bins are then not equal, as the paper has them: a pair that holds no such machine is passed over like a
+// crowded one. What is drawn stays uniform over all that passed.
+func (p *Placer) slowFresh(t *ask) bool {
+	f := &p.fresh[t.Class]
+	return !f.seen || f.mean+f.dev > p.cfg.Classes[t.Class].Aim/2
+}
+
+func (p *Placer) anyHolds(t *ask, set []*machine) bool {
+	for _, m := range set {
+		if m.services[t.Service] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // limit is k of the design: c times the pending tasks per machine that passed, at least 1. Pending are tasks
 // without an answer and the binds that still count as contenders.
 func (p *Placer) limit(n int) float64 {
@@ -493,8 +517,12 @@
 	m := a.m
 	m.open--
 	p.rebook(m, a.sent, t, true)
+	a.fresh = m.services[t.Service] == 0
 	m.services[t.Service]++
 	p.answers[t.Class].add(ev.Elapsed, learn)
+	if p.cfg.AnswersWhenRunning && a.fresh {
+		p.fresh[t.Class].add(ev.Elapsed, learn)
+	}
 	p.worked(m)
 	t.placed = true
 	p.close(t)
--- a/placer/state.go
+++ b/placer/state.go
@@ -57,6 +57,7 @@
 	sent  float64
 	out   bool // no outcome yet
 	bound bool
+	fresh bool // the machine held no own task of the service at the bind
 }
 
 // ask is a task in hand.
