Hold machines in reserve where the list shows that fewer would do

Condition: fleet price above 0 and the list shows room. Might hurt when a burst meets a packed fleet: reserves open as the list shows the rise.

--- a/internal/simhost/settings.go
+++ b/internal/simhost/settings.go
@@ -56,6 +56,9 @@
 		MostTries       int     `json:"mostTries"`
 		RetryAfter      bool    `json:"retryAfter"`
 	} `json:"permissions"`
+	Tariffs struct {
+		Fleet float64 `json:"fleet"`
+	} `json:"tariffs"`
 	Rules struct {
 		AnswerSlackS   float64 `json:"answerSlackS"`
 		AskWithinS     float64 `json:"askWithinS"`
@@ -90,7 +93,7 @@
 		AnswerSlack: r.AnswerSlackS, DrainGrace: r.DrainGraceS, ColdFrom: r.ColdFrom, WarmWithin: r.WarmWithinS,
 		FallMultiple: r.OverloadFactor, FallWindow: r.FallS, ColdAlways: x.YoungLimit,
 		MustAsk: s.Discovery == "ask", AskWithin: r.AskWithinS, MayDelayOwners: p.RetryAfter,
-		MaxDelay: p.MaxRetryAfterS, SettleAfter: x.CheckAfterS, OverShareWorth: s.OverShareWorth,
+		MaxDelay: p.MaxRetryAfterS, SettleAfter: x.CheckAfterS, OverShareWorth: s.OverShareWorth, FleetPrice: s.Tariffs.Fleet,
 	}
 	for i, l := range s.Lanes {
 		k := placer.Class{
--- a/placer/api.go
+++ b/placer/api.go
@@ -93,6 +93,7 @@
 	MayDelayOwners bool    // owners are told when to come again
 	MaxDelay       float64 // and follow it up to this
 	SettleAfter    float64 // how long owners of doubtful tasks wait
+	FleetPrice     float64 // of machines that hold a task beyond those needed
 	OverShareWorth float64 // worth of a task beyond its tenant's share
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -5,10 +5,12 @@
 // crowded ones, offer the emptier, then the other, then wait and draw afresh. See docs/design.md.
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 )
 
 const (
@@ -24,6 +26,7 @@
 	firstAvoid  = 1.0  // aims for which a machine is avoided after its first strike
 	learn       = 0.1  // weight of a new reading in running means
 	fadeBorne   = 0.25 // of the fade of a class's service that is borne before a machine counts as too full
+	packTo      = 0.8  // of what open machines bear is used before one more is opened
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -47,6 +50,9 @@
 	pending   int // tasks without an answer
 	pool      []*machine
 	spare     []*machine
+	sorted    []*machine
+	packed    bool
+	packedAt  float64
 	answers   []average // time to an answer, per class
 	fresh     []average // time to a start on a machine that held no own task of the service, per class
 	useCores  average   // use over ask, all machines
@@ -249,18 +255,67 @@
 	if len(p.pool)*fewTrusted < len(p.spare) || len(p.pool) == 0 {
 		p.pool = append(p.pool[:0], p.spare...)
 	}
+	// Machines held in reserve are passed over while others have room.
+	p.pack()
+	p.pool = prefer(p.pool, func(m *machine) bool { return !m.reserve })
 	// Cores in use beyond what the class bears spoil the service of all that run there.
+	return prefer(p.pool, func(m *machine) bool { return m.busyAfter <= 0 })
+}
+
+// prefer keeps those of the set that are wanted, or all if none is.
+func prefer(set []*machine, want func(*machine) bool) []*machine {
 	n := 0
-	for _, m := range p.pool {
-		if m.busyAfter <= 0 {
-			p.pool[n] = m
+	for _, m := range set {
+		if want(m) {
+			set[n] = m
 			n++
 		}
 	}
 	if n > 0 {
-		return p.pool[:n]
+		return set[:n]
+	}
+	return set
+}
+
+// pack holds machines in reserve where machines in use have a price and the list shows that fewer would do. All
+// schedulers see the same list and agree without a word: large machines first, for one costs as much as a small
+// one, then by number. What the list shows as asked, at the learned use, must fit the open ones with some room.
+func (p *Placer) pack() {
+	if !(p.cfg.FleetPrice > 0) || !p.cfg.ListShowsRoom || p.packed && p.now-p.packedAt < window/20 {
+		return
+	}
+	p.packed, p.packedAt = true, p.now
+	p.sorted = p.sorted[:0]
+	var uc, um, ac, am float64
+	for _, m := range p.machines {
+		m.reserve = false
+		if m.known && m.State != Gone && m.cores > 0 {
+			c, mem, _ := p.room(m)
+			ac += m.cores - c
+			am += m.memory - mem
+			if m.State == Ready && m.strikes == 0 {
+				p.sorted = append(p.sorted, m)
+			}
+		}
+	}
+	calm := math.Inf(1)
+	for _, k := range p.cfg.Classes {
+		calm = min(calm, k.CalmUpTo)
+	}
+	uc, um = ac*p.useCores.mean, am*p.useMemory.mean
+	slices.SortFunc(p.sorted, func(a, b *machine) int {
+		if a.cores != b.cores {
+			return cmp.Compare(b.cores, a.cores)
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	var c, mem float64
+	for _, m := range p.sorted {
+		m.reserve = uc <= c*calm*packTo && um <= mem*memoryTight*packTo &&
+			ac <= c*p.cfg.BookCores*packTo && am <= mem*p.cfg.BookMemory*packTo
+		c += m.cores
+		mem += m.memory
 	}
-	return p.pool
 }
 
 // fits says whether neither list nor report nor a fresh refusal shows m as too full for the ask.
--- a/placer/state.go
+++ b/placer/state.go
@@ -15,6 +15,7 @@
 	fullCores     float64 // for asks at least this big
 	fullMemory    float64
 	busyAfter     float64 // of its cores, beyond what the ask bears; scratch of the filter
+	reserve       bool
 	strikes       int
 	struckAt      float64
 	avoidUntil    float64
