--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,7 +26,7 @@
 	firstAvoid  = 1.0  // aims for which a machine is avoided after its first strike
 	learn       = 0.1  // weight of a new reading in running means
 	fadeBorne   = 0.25 // of the fade of a class's service that is borne before a machine counts as too full
-	packTo      = 0.9  // of what open machines bear is used before one more is opened
+	packTo      = 0.8  // of what open machines bear is used before one more is opened
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -298,9 +298,9 @@
 			}
 		}
 	}
-	calm := 0.0
+	calm := math.Inf(1)
 	for _, k := range p.cfg.Classes {
-		calm = max(calm, k.CalmUpTo)
+		calm = min(calm, k.CalmUpTo)
 	}
 	uc, um = ac*p.useCores.mean, am*p.useMemory.mean
 	slices.SortFunc(p.sorted, func(a, b *machine) int {
