Patience where the answer is the start; steadier reserve

Cause: where a bind is told only when the task runs, slow fresh starts were taken for silence: 7 to 14% of attempts timed out, each a strike and a wasted copy.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,6 +27,8 @@
 	learn       = 0.1  // weight of a new reading in running means
 	fadeBorne   = 0.25 // of the fade of a class's service that is borne before a machine counts as too full
 	packTo      = 0.8  // of what open machines bear is used before one more is opened
+	runPatience = 0.4  // of the deadline, where the answer is the start: a slow fresh start is not a silent machine
+	packKeep    = 0.85 // of packTo, under which an open one is closed again
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -288,12 +290,11 @@
 	p.sorted = p.sorted[:0]
 	var uc, um, ac, am float64
 	for _, m := range p.machines {
-		m.reserve = false
 		if m.known && m.State != Gone && m.cores > 0 {
 			c, mem, _ := p.room(m)
 			ac += m.cores - c
 			am += m.memory - mem
-			if m.State == Ready && m.strikes == 0 {
+			if m.State == Ready {
 				p.sorted = append(p.sorted, m)
 			}
 		}
@@ -311,10 +312,16 @@
 	})
 	var c, mem float64
 	for _, m := range p.sorted {
-		m.reserve = uc <= c*calm*packTo && um <= mem*memoryTight*packTo &&
-			ac <= c*p.cfg.BookCores*packTo && am <= mem*p.cfg.BookMemory*packTo
-		c += m.cores
-		mem += m.memory
+		to := packTo
+		if !m.reserve {
+			to *= packKeep // what is open stays open for a while: each change leaves tasks behind on machines
+		}
+		m.reserve = uc <= c*calm*to && um <= mem*memoryTight*to &&
+			ac <= c*p.cfg.BookCores*to && am <= mem*p.cfg.BookMemory*to
+		if m.strikes == 0 {
+			c += m.cores
+			mem += m.memory
+		}
 	}
 }
 
@@ -530,7 +537,9 @@
 func (p *Placer) patience(t *ask) float64 {
 	c, seen := &p.cfg.Classes[t.Class], &p.answers[t.Class]
 	least := c.Aim / 2
-	if p.cfg.AnswersWhenRunning || c.Effect == Once {
+	if p.cfg.AnswersWhenRunning {
+		least = max(2*c.Aim, c.Deadline*runPatience)
+	} else if c.Effect == Once {
 		least = 2 * c.Aim
 	}
 	if !seen.seen {
