Move the last own tasks off machines long in reserve

Condition: fleet price above move price, no own task waiting, machine in reserve for a window and under 0.3 asked. Might hurt where starts after a move are slow.

--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -123,6 +123,8 @@
 			h.w.Timer(who, a.Token, a.After)
 		case placer.Watch:
 			h.w.Watch(who)
+		case placer.Move:
+			h.w.Vacate(who, uint64(a.Task))
 		case placer.Fetch:
 			h.w.Lookup(who)
 		}
--- a/internal/simhost/settings.go
+++ b/internal/simhost/settings.go
@@ -58,6 +58,7 @@
 	} `json:"permissions"`
 	Tariffs struct {
 		Fleet float64 `json:"fleet"`
+		Moves float64 `json:"moves"`
 	} `json:"tariffs"`
 	Rules struct {
 		AnswerSlackS   float64 `json:"answerSlackS"`
@@ -93,7 +94,7 @@
 		AnswerSlack: r.AnswerSlackS, DrainGrace: r.DrainGraceS, ColdFrom: r.ColdFrom, WarmWithin: r.WarmWithinS,
 		FallMultiple: r.OverloadFactor, FallWindow: r.FallS, ColdAlways: x.YoungLimit,
 		MustAsk: s.Discovery == "ask", AskWithin: r.AskWithinS, MayDelayOwners: p.RetryAfter,
-		MaxDelay: p.MaxRetryAfterS, SettleAfter: x.CheckAfterS, OverShareWorth: s.OverShareWorth, FleetPrice: s.Tariffs.Fleet,
+		MaxDelay: p.MaxRetryAfterS, SettleAfter: x.CheckAfterS, OverShareWorth: s.OverShareWorth, FleetPrice: s.Tariffs.Fleet, MovePrice: s.Tariffs.Moves,
 	}
 	for i, l := range s.Lanes {
 		k := placer.Class{
--- a/placer/api.go
+++ b/placer/api.go
@@ -93,7 +93,8 @@
 	MayDelayOwners bool    // owners are told when to come again
 	MaxDelay       float64 // and follow it up to this
 	SettleAfter    float64 // how long owners of doubtful tasks wait
-	FleetPrice     float64 // of machines that hold a task beyond those needed
+	FleetPrice     float64 // of machines that hold a task beyond those needed, as a part of all
+	MovePrice      float64 // of one move for each task
 	OverShareWorth float64 // worth of a task beyond its tenant's share
 }
 
@@ -223,7 +224,7 @@
 
 // The actions: Offer has Task, Node, Attempt and Until (give up then); Refuse has Task and After (the owner
 // should not come earlier; 0 is no advice); Fail has Task; Wake has Token and After; Watch and Fetch ask for
-// the list, with changes from now on or once.
+// the list, with changes from now on or once; Move stops a bound Task, whose owner then asks again.
 const (
 	Offer ActionKind = iota + 1
 	Refuse
@@ -231,6 +232,7 @@
 	Wake
 	Watch
 	Fetch
+	Move
 )
 
 // Action is something the scheduler must do now.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -29,6 +29,8 @@
 	packTo      = 0.8  // of what open machines bear is used before one more is opened
 	runPatience = 0.4  // of the deadline, where the answer is the start: a slow fresh start is not a silent machine
 	packKeep    = 0.85 // of packTo, under which an open one is closed again
+	tidyEvery   = 0.1  // of window, between moves of one scheduler
+	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -109,6 +111,7 @@
 		if p.cfg.MustAsk {
 			p.askList()
 		}
+		p.wakeIn(nil, wakeTidy, p.jittered(tidyEvery*window))
 	}
 	p.now = max(now, p.now)
 	switch ev.Kind {
@@ -166,7 +169,7 @@
 	a := &attempt{m: m, t: t, sent: p.now, out: true, bound: true}
 	t.attempts = append(t.attempts, a)
 	p.tasks[t.ID] = t
-	m.services[t.Service]++
+	m.hold(a)
 	p.addService(a)
 }
 
@@ -181,6 +184,9 @@
 		if token == p.listWake {
 			p.checkList()
 		}
+	case wakeTidy:
+		p.tidy()
+		p.wakeIn(nil, wakeTidy, p.jittered(tidyEvery*window))
 	case wakeDeadline:
 		// The time-out of an attempt is cut to the deadline and is answered when it comes; this is for
 		// attempts whose outcome does not come, and for tasks that still wait.
@@ -316,8 +322,12 @@
 		if !m.reserve {
 			to *= packKeep // what is open stays open for a while: each change leaves tasks behind on machines
 		}
+		was := m.reserve
 		m.reserve = uc <= c*calm*to && um <= mem*memoryTight*to &&
 			ac <= c*p.cfg.BookCores*to && am <= mem*p.cfg.BookMemory*to
+		if m.reserve && !was {
+			m.reserveSince = p.now
+		}
 		if m.strikes == 0 {
 			c += m.cores
 			mem += m.memory
@@ -325,6 +335,29 @@
 	}
 }
 
+// tidy moves the last own tasks off a machine that has been in reserve for long: they would keep it in use until
+// the longest of them ends. It acts only in quiet: nothing waits, and this machine is nearly empty.
+func (p *Placer) tidy() {
+	p.pack()
+	if p.cfg.FleetPrice <= p.cfg.MovePrice || p.pending > 0 {
+		return
+	}
+	for _, m := range p.sorted {
+		c, mem, _ := p.room(m)
+		asked := max((m.cores-c)/m.cores, (m.memory-mem)/m.memory)
+		if !m.reserve || len(m.held) == 0 || p.now-m.reserveSince < window || asked > nearlyEmpty {
+			continue
+		}
+		a := m.held[p.rng.IntN(len(m.held))]
+		if a.t.moved {
+			continue
+		}
+		a.t.moved = true
+		p.out = append(p.out, Action{Kind: Move, Task: a.t.ID})
+		return
+	}
+}
+
 // fits says whether neither list nor report nor a fresh refusal shows m as too full for the ask.
 func (p *Placer) fits(t *ask, m *machine) bool {
 	if m.fullUntil > p.now && t.Cores >= m.fullCores && t.Memory >= m.fullMemory {
@@ -582,7 +615,7 @@
 	m.open--
 	p.rebook(m, a.sent, t, true)
 	a.fresh = m.services[t.Service] == 0
-	m.services[t.Service]++
+	m.hold(a)
 	p.answers[t.Class].add(ev.Elapsed, learn)
 	if p.cfg.AnswersWhenRunning && a.fresh {
 		p.fresh[t.Class].add(ev.Elapsed, learn)
@@ -619,9 +652,7 @@
 		p.learnUse(m)
 	}
 	if a.bound {
-		if m.services[t.Service]--; m.services[t.Service] <= 0 {
-			delete(m.services, t.Service)
-		}
+		m.release(a)
 		m.pending = append(m.pending, delta{at: p.now, cores: -t.Cores, memory: -t.Memory})
 	} else {
 		m.open--
--- a/placer/state.go
+++ b/placer/state.go
@@ -20,6 +20,8 @@
 	struckAt      float64
 	avoidUntil    float64
 	services      map[ServiceID]int // own tasks that run here
+	held          []*attempt        // own tasks bound here
+	reserveSince  float64
 }
 
 // delta is an own change in what is asked of a machine that the list may not show yet.
@@ -55,6 +57,7 @@
 type attempt struct {
 	m     *machine
 	t     *ask
+	slot  int // in the machine's list of bound tasks
 	sent  float64
 	out   bool // no outcome yet
 	bound bool
@@ -69,6 +72,7 @@
 	refusals int      // of the present pair
 	over     bool     // answered or ended
 	placed   bool
+	moved    bool
 	doubt    *attempt // the first attempt that may have run and was not bound
 	wake     uint64
 	arrived  float64
@@ -95,6 +99,7 @@
 	wakeRedraw wakeKind = iota + 1
 	wakeDeadline
 	wakeList
+	wakeTidy
 )
 
 // average is a running mean and deviation.
@@ -116,6 +121,22 @@
 	a.dev += (d - a.dev) * weight
 }
 
+// hold and release keep the list of own tasks bound to a machine.
+func (m *machine) hold(a *attempt) {
+	a.slot = len(m.held)
+	m.held = append(m.held, a)
+	m.services[a.t.Service]++
+}
+
+func (m *machine) release(a *attempt) {
+	last := m.held[len(m.held)-1]
+	m.held[a.slot], last.slot = last, a.slot
+	m.held = m.held[:len(m.held)-1]
+	if m.services[a.t.Service]--; m.services[a.t.Service] <= 0 {
+		delete(m.services, a.t.Service)
+	}
+}
+
 func (p *Placer) addService(a *attempt) {
 	p.byService[a.t.Service] = append(p.byService[a.t.Service], a)
 }
