--- /dev/null
+++ b/internal/simhost/host_test.go
@@ -0,0 +1,135 @@
+package simhost
+
+import (
+	"bytes"
+	"encoding/binary"
+	"strings"
+	"testing"
+
+	"heathshed/placer"
+)
+
+const text = `{"discovery":"push","me":1,"myZone":0,"peersTotal":2,"unheardOf":{"a":[1]},
+ "extra":{"admitMemory":1.5,"apartBy":["none","cell"],"classKind":[-1,-1],"coresByKind":[8,16],"counts":"used",
+  "cpuBooking":2,"freeInList":true,"fullUpTo":[1,0.8],"fadesOver":[1,0.2],"kindMemory":[16,32],"precedence":[0,2],
+  "saysYes":"running","startBonusS":[5,6],"togetherMax":[0,2],"youngLimit":12},
+ "lanes":[{"effect":"idempotent","hardLimitS":4,"keyScope":"all","objectiveS":1,"worth":1},
+  {"effect":"deduplicated","hardLimitS":5,"keyScope":"cell","keyTtlS":3,"objectiveS":1,"worth":2}],
+ "loadReport":{"fields":["x1","utilization"],"how":"answers"},"permissions":{"mostTries":3},
+ "rules":{"answerSlackS":0.01,"askWithinS":9,"fallS":1,"warmWithinS":8}}`
+
+type batch struct {
+	buf   bytes.Buffer
+	count uint32
+}
+
+func (b *batch) add(values ...any) *batch {
+	for _, v := range values {
+		if err := binary.Write(&b.buf, binary.LittleEndian, v); err != nil {
+			panic(err)
+		}
+	}
+	b.count++
+	return b
+}
+
+func (b *batch) bytes(number uint32, now float64) []byte {
+	var out bytes.Buffer
+	for _, v := range []any{number, uint32(12 + b.buf.Len()), b.count, now} {
+		if err := binary.Write(&out, binary.LittleEndian, v); err != nil {
+			panic(err)
+		}
+	}
+	return append(out.Bytes(), b.buf.Bytes()...)
+}
+
+var node = [6]byte{10, 0, 0, 1, 1, 2}
+
+func begin(who uint32, settings string) *batch {
+	return (&batch{}).add(uint8(19), who, uint64(9), uint32(len(settings)), []byte(settings)).
+		add(uint8(16), uint8(0), uint32(1), node, uint8(0), float32(8), uint8(0), uint16(1), float32(16), uint8(1),
+			float32(1), 0.0).
+		add(uint8(26), who, uint8(1), uint32(1), uint8(0))
+}
+
+func arrives(b *batch, who uint32, id uint64) *batch {
+	return b.add(uint8(18), who, id, uint16(0), uint16(0), uint64(1), 14.0, 0.0, uint64(4), float32(1), float32(1), uint8(0))
+}
+
+func run(in ...[]byte) (string, string, error) {
+	var out, problems bytes.Buffer
+	err := Run(bytes.NewReader(bytes.Join(in, nil)), &out, &problems)
+	return out.String(), problems.String(), err
+}
+
+func TestATaskIsOfferedOnTheWire(t *testing.T) {
+	out, _, err := run(arrives(begin(4, text), 4, 77).bytes(1, 10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want bytes.Buffer
+	for _, v := range []any{uint8(86), uint32(4), uint64(77)} {
+		if err := binary.Write(&want, binary.LittleEndian, v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !strings.Contains(out, want.String()) || !strings.HasSuffix(out, string(node[:])) {
+		t.Fatalf("no offer to the node in %x", out)
+	}
+}
+
+func TestStrangersHarmNobody(t *testing.T) {
+	plain, _, err := run(arrives(begin(4, text), 4, 77).bytes(1, 10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := begin(4, text)
+	arrives(b, 8, 5)                                            // not begun
+	b.add(uint8(22), uint32(4), uint64(12345))                  // an id never given
+	b.add(uint8(21), uint32(4), uint64(99999))                  // a timer never set
+	b.add(uint8(25), uint32(4), uint64(3), uint8(9), 0.1, node) // an attempt never made
+	out, problems, err := run(arrives(b, 4, 77).bytes(1, 10))
+	if err != nil || out != plain || !strings.Contains(problems, "has not begun") {
+		t.Fatalf("err %v, same %v, problems %q", err, out == plain, problems)
+	}
+}
+
+func TestBadInputEndsWithoutAReply(t *testing.T) {
+	for name, c := range map[string]struct {
+		in   []byte
+		want string
+	}{
+		"no json":    {begin(4, "{").bytes(1, 10), "settings"},
+		"effect":     {begin(4, strings.Replace(text, "idempotent", "maybe", 1)).bytes(1, 10), "lanes[0].effect"},
+		"place":      {begin(4, strings.Replace(text, `"none","cell"`, `"moon"`, 1)).bytes(1, 10), "apartBy[0]"},
+		"kinds":      {begin(4, strings.Replace(text, `"kindMemory":[16,32]`, `"kindMemory":[16]`, 1)).bytes(1, 10), "kindMemory"},
+		"attempts":   {begin(4, strings.Replace(text, `"mostTries":3`, `"mostTries":0`, 1)).bytes(1, 10), "attempts 0"},
+		"list kind":  {begin(4, text).add(uint8(26), uint32(4), uint8(9), uint32(1), uint8(0)).bytes(1, 10), "list kind 9"},
+		"bytes left": {func() []byte { b := begin(4, text); b.count--; return b.bytes(1, 10) }(), "follow the last"},
+	} {
+		out, _, err := run(c.in)
+		if err == nil || !strings.Contains(err.Error(), c.want) || out != "" {
+			t.Errorf("%s: error %v, %d bytes out", name, err, len(out))
+		}
+	}
+	if out, _, err := run(); err != nil || out != "" {
+		t.Errorf("end of input: %v", err)
+	}
+}
+
+func TestSettings(t *testing.T) {
+	c, fields, err := parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := c.Classes[1]
+	if c.Self != 1 || c.Peers != 2 || c.MaxAttempts != 3 || !c.AnswersWhenRunning || !c.ReportsUse || len(fields) != 2 ||
+		k.Effect != placer.Keyed || k.Group != placer.Rack || k.Remembers != 3 || k.Apart != placer.Rack || k.Most != 2 ||
+		c.Classes[0].Apart != placer.NoPlace || c.Kinds[1].Memory != 32 {
+		t.Fatalf("%+v", c)
+	}
+	in := instance{fields: fields}
+	if r := in.load([]float32{3, 0.5}); r.FreeMemory != 3 || r.Busy != 0.5 || r.FreeCores == r.FreeCores {
+		t.Fatalf("%+v", r)
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,7 +27,7 @@
 	learn       = 0.1  // weight of a new reading in running means
 	fadeBorne   = 0.25 // of the fade of a class's service that is borne before a machine counts as too full
 	packTo      = 0.8  // of what open machines bear is used before one more is opened
-	runPatience = 0.4  // of the deadline, where the answer is the start: a slow fresh start is not a silent machine
+	runPatience = 0.4  // of the deadline, where the answer is the start: slow fresh starts are no silence
 	packKeep    = 0.85 // of packTo, under which an open one is closed again
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
@@ -78,12 +78,14 @@
 		return nil, errors.New("placer: config has no kinds of machine")
 	}
 	if cfg.Peers < 1 || cfg.Self < 0 || cfg.MaxAttempts < 1 {
-		return nil, fmt.Errorf("placer: self %d, peers %d, attempts %d: not usable", cfg.Self, cfg.Peers, cfg.MaxAttempts)
+		return nil, fmt.Errorf("placer: self %d, peers %d, attempts %d: not usable",
+			cfg.Self, cfg.Peers, cfg.MaxAttempts)
 	}
 	p := &Placer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		byID: map[NodeID]*machine{}, tasks: map[TaskID]*ask{}, byService: map[ServiceID][]*attempt{},
-		wakes: map[uint64]wakeup{}, answers: make([]average, len(cfg.Classes)), fresh: make([]average, len(cfg.Classes)),
+		wakes: map[uint64]wakeup{}, answers: make([]average, len(cfg.Classes)),
+		fresh:    make([]average, len(cfg.Classes)),
 		useCores: average{mean: 1}, useMemory: average{mean: 1},
 		shortAim: math.Inf(1),
 	}
@@ -126,8 +128,8 @@
 	case Ended:
 		p.ended(ev)
 	case Noted:
-		if t := p.tasks[ev.ID]; t != nil && ev.Use == Runs && ev.Attempt >= 0 && ev.Attempt < len(t.attempts) &&
-			t.attempts[ev.Attempt].fresh {
+		if t := p.tasks[ev.ID]; t != nil && ev.Use == Runs && ev.Attempt >= 0 &&
+			ev.Attempt < len(t.attempts) && t.attempts[ev.Attempt].fresh {
 			p.fresh[t.Class].add(p.now-t.attempts[ev.Attempt].sent, learn)
 		}
 	case Withdrawn:
@@ -149,7 +151,8 @@
 	t := &ask{Task: task, arrived: p.now}
 	p.tasks[task.ID] = t
 	p.pending++
-	// Asks that are no numbers, or name no class, could never be kept books on: an answer at once, never sent.
+	// Asks that are no numbers, or name no class, could never be kept books on: an answer at once, never
+	// sent.
 	if task.Class < 0 || task.Class >= len(p.cfg.Classes) || !(task.Cores >= 0) || !(task.Memory >= 0) ||
 		math.IsInf(task.Cores, 0) || math.IsInf(task.Memory, 0) || !(task.Deadline > p.now) {
 		p.answer(t)
@@ -214,8 +217,8 @@
 
 // ---- filter ----
 
-// listed brings the books in line with the list. A machine that a full list leaves out is gone; one with a new
-// start time has forgotten what we held against it.
+// listed brings the books in line with the list. A machine that a full list leaves out is gone; one with a
+// new start time has forgotten what we held against it.
 func (p *Placer) listed(ev Event) {
 	if ev.List == ListFailed {
 		p.subscribed = false
@@ -285,9 +288,10 @@
 	return set
 }
 
-// pack holds machines in reserve where machines in use have a price and the list shows that fewer would do. All
-// schedulers see the same list and agree without a word: large machines first, for one costs as much as a small
-// one, then by number. What the list shows as asked, at the learned use, must fit the open ones with some room.
+// pack holds machines in reserve where machines in use have a price and the list shows that fewer would do.
+// All schedulers see the same list and agree without a word: large machines first, for one costs as much as a
+// small one, then by number. What the list shows as asked, at the learned use, must fit the open ones with
+// some room.
 func (p *Placer) pack() {
 	if !(p.cfg.FleetPrice > 0) || !p.cfg.ListShowsRoom || p.packed && p.now-p.packedAt < window/20 {
 		return
@@ -317,13 +321,13 @@
 		return cmp.Compare(a.ID, b.ID)
 	})
 	var c, mem float64
-	for _, m := range p.sorted {
+	for i, m := range p.sorted {
 		to := packTo
 		if !m.reserve {
 			to *= packKeep // what is open stays open for a while: each change leaves tasks behind on machines
 		}
 		was := m.reserve
-		m.reserve = uc <= c*calm*to && um <= mem*memoryTight*to &&
+		m.reserve = i > 1 && uc <= c*calm*to && um <= mem*memoryTight*to &&
 			ac <= c*p.cfg.BookCores*to && am <= mem*p.cfg.BookMemory*to
 		if m.reserve && !was {
 			m.reserveSince = p.now
@@ -335,8 +339,8 @@
 	}
 }
 
-// tidy moves the last own tasks off a machine that has been in reserve for long: they would keep it in use until
-// the longest of them ends. It acts only in quiet: nothing waits, and this machine is nearly empty.
+// tidy moves the last own tasks off a machine that has been in reserve for long: they would keep it in use
+// until the longest of them ends. It acts only in quiet: nothing waits, and this machine is nearly empty.
 func (p *Placer) tidy() {
 	p.pack()
 	if p.cfg.FleetPrice <= p.cfg.MovePrice || p.pending > 0 {
@@ -370,8 +374,8 @@
 	if c+(p.cfg.BookCores-1)*m.cores < t.Cores || mem+(p.cfg.BookMemory-1)*m.memory < t.Memory {
 		return false
 	}
-	// Accepting is not serving: memory in use near the size slows all tasks or evicts them, and these come again
-	// and push out others. What is asked stands for what will be used.
+	// Accepting is not serving: memory in use near the size slows all tasks or evicts them, and these come
+	// again and push out others. What is asked stands for what will be used.
 	uc, um := (m.cores-c)*p.useCores.mean, (m.memory-mem)*p.useMemory.mean
 	if m.reported && p.now-m.reportAt < window {
 		rc, rm := 0.0, 0.0
@@ -411,7 +415,8 @@
 	}
 }
 
-// room returns cores and memory of m that nobody asked for, own changes that the list cannot show yet included.
+// room returns cores and memory of m that nobody asked for, own changes that the list cannot show yet
+// included.
 func (p *Placer) room(m *machine) (cores, memory float64, heard bool) {
 	m.dropBefore(p.now - window)
 	switch {
@@ -461,16 +466,17 @@
 			return b, nil
 		}
 	}
-	// Every pair was crowded: holding the task back helps nobody, so the last pair stands, less crowded first.
+	// Every pair was crowded: holding the task back helps nobody, so the last pair stands, less crowded
+	// first.
 	if b != nil && p.contenders(b) < p.contenders(a) {
 		a, b = b, a
 	}
 	return a, b
 }
 
-// slowFresh says whether a start on a machine without the service's program is likely to miss the aim, as far as
-// seen. Bins are then not equal, as the paper has them: a pair that holds no such machine is passed over like a
-// crowded one. What is drawn stays uniform over all that passed.
+// slowFresh says whether a start on a machine without the service's program is likely to miss the aim, as far
+// as seen. Bins are then not equal, as the paper has them: a pair that holds no such machine is passed over
+// like a crowded one. What is drawn stays uniform over all that passed.
 func (p *Placer) slowFresh(t *ask) bool {
 	f := &p.fresh[t.Class]
 	return !f.seen || f.mean+f.dev > p.cfg.Classes[t.Class].Aim/2
@@ -726,7 +732,8 @@
 	m.avoidUntil = p.now + p.jittered(firstAvoid*p.shortAim*math.Exp2(float64(m.strikes-1)))
 }
 
-// worked takes a strike back, slowly: machines that fail only some starts would else be trusted at each success.
+// worked takes a strike back, slowly: machines that fail only some starts would else be trusted at each
+// success.
 func (p *Placer) worked(m *machine) {
 	if m.strikes > 0 && p.now >= m.avoidUntil {
 		m.strikes--
@@ -734,8 +741,8 @@
 	}
 }
 
-// trusted says whether t may be tried on m: struck machines are tested one offer at a time, and not with tasks
-// whose loss is dearer than a wait.
+// trusted says whether t may be tried on m: struck machines are tested one offer at a time, and not with
+// tasks whose loss is dearer than a wait.
 func (p *Placer) trusted(t *ask, m *machine) bool {
 	if m.strikes == 0 {
 		return true
@@ -796,10 +803,11 @@
 	return m.Since > 0 && p.now-m.Since < p.cfg.WarmWithin
 }
 
-// coldAllows keeps this scheduler within its part of the offers that a cold machine always bears. Parts of all
-// peers add up to no more than that, however uneven the traffic. Where there are more peers than offers, turns
-// are taken by the clock: one offer in an own turn, and a window touches at most two turns. A scheduler that has
-// just started does not know what it sent before, so it sends nothing cold until that is out of the window.
+// coldAllows keeps this scheduler within its part of the offers that a cold machine always bears. Parts of
+// all peers add up to no more than that, however uneven the traffic. Where there are more peers than offers,
+// turns are taken by the clock: one offer in an own turn, and a window touches at most two turns. A scheduler
+// that has just started does not know what it sent before, so it sends nothing cold until that is out of the
+// window.
 func (p *Placer) coldAllows(m *machine) bool {
 	if !p.cold(m) {
 		return true
@@ -853,8 +861,8 @@
 
 // ---- deadline ----
 
-// answer gives the final answer to a task that is not placed: a refusal where it is known to do no harm, else a
-// failure.
+// answer gives the final answer to a task that is not placed: a refusal where it is known to do no harm, else
+// a failure.
 func (p *Placer) answer(t *ask) {
 	ok := t.outstanding() == nil
 	if ok && t.doubt != nil {
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,738 @@
+package placer
+
+import (
+	"bufio"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func config() Config {
+	return Config{
+		Peers: 2,
+		Classes: []Class{
+			{Aim: 1, Deadline: 5, NodeKind: -1, CalmUpTo: 1, FadesOver: 1, Worth: 1},
+			{Aim: 1, Deadline: 6, NodeKind: -1, CalmUpTo: 1, FadesOver: 1, Worth: 3, Effect: Once, Apart: OneNode, Most: 2},
+			{Aim: 1, Deadline: 6, NodeKind: -1, CalmUpTo: 1, FadesOver: 1, Worth: 3, Effect: Keyed, Group: Rack,
+				Remembers: 4, Apart: Rack, Most: 3},
+			{Aim: 1, Deadline: 5, NodeKind: 1, CalmUpTo: 1, FadesOver: 1, Worth: 1},
+		},
+		Kinds:     []Kind{{16, 32}, {32, 64}},
+		BookCores: 1, BookMemory: 1, ListShowsRoom: true, MaxAttempts: 4, ConnectWithin: 0.25, AnswerSlack: 0.01,
+		DrainGrace: 1, ColdFrom: 0.2, WarmWithin: 10, FallMultiple: 2, FallWindow: 2, ColdAlways: 8, AskWithin: 10,
+		SettleAfter: 3,
+	}
+}
+
+func fleet(n int) []Node {
+	var out []Node
+	for i := range n {
+		kind := i % 2
+		out = append(out, Node{ID: NodeID(i + 1), Rack: i / 3, Zone: i % 2, Kind: kind, State: Ready,
+			FreeCores: float64(16 * (kind + 1)), FreeMemory: float64(32 * (kind + 1))})
+	}
+	return out
+}
+
+func start(t testing.TB, c Config, seed uint64, nodes []Node) *Placer {
+	t.Helper()
+	p, err := New(c, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Handle(100, Event{Kind: Listed, List: CachedList, Nodes: nodes}, nil)
+	return p
+}
+
+func task(id, class int) Task {
+	return Task{ID: TaskID(id), Class: class, Service: ServiceID(id), Cores: 1, Memory: 1, Deadline: 105}
+}
+
+func arrive(p *Placer, now float64, k Task) []Action {
+	return p.Handle(now, Event{Kind: Arrived, Task: k}, nil)
+}
+
+func only(acts []Action, kind ActionKind) []Action {
+	var out []Action
+	for _, a := range acts {
+		if a.Kind == kind {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func offered(t testing.TB, acts []Action) Action {
+	t.Helper()
+	o := only(acts, Offer)
+	if len(o) != 1 {
+		t.Fatalf("want one offer, got %+v", acts)
+	}
+	return o[0]
+}
+
+func end(p *Placer, now float64, o Action, r Result, why Reason) []Action {
+	return p.Handle(now, Event{Kind: Ended, ID: o.Task, Attempt: o.Attempt, Node: o.Node, Result: r, Reason: why}, nil)
+}
+
+func bind(p *Placer, now float64, o Action) []Action {
+	return p.Handle(now, Event{Kind: Bound, ID: o.Task, Attempt: o.Attempt, Node: o.Node, Elapsed: 0.01}, nil)
+}
+
+func TestNewNamesWhatIsUnusable(t *testing.T) {
+	for name, spoil := range map[string]func(*Config){
+		"classes": func(c *Config) { c.Classes = nil }, "kinds": func(c *Config) { c.Kinds = nil },
+		"peers": func(c *Config) { c.Peers = 0 }, "aim": func(c *Config) { c.Classes[0].Aim = math.NaN() },
+		"cores": func(c *Config) { c.Kinds[0].Cores = 0 },
+	} {
+		c := config()
+		spoil(&c)
+		if _, err := New(c, 1); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
+
+func TestPairIsUniformAndEmptierComesFirst(t *testing.T) {
+	seen, firsts := map[NodeID]int{}, map[NodeID]int{}
+	const runs = 3000
+	for s := range runs {
+		nodes := fleet(6)
+		for i := range nodes { // node 1 the fullest, node 6 the emptiest, by free share
+			share := float64(i+1) / 8
+			size := float64(16 * (nodes[i].Kind + 1))
+			nodes[i].FreeCores, nodes[i].FreeMemory = size*share, size*2*share
+		}
+		p := start(t, config(), uint64(s), nodes)
+		o := offered(t, arrive(p, 100.1, task(1, 0)))
+		second := offered(t, end(p, 100.2, o, Refused, NoCores))
+		if second.Node > o.Node {
+			t.Fatalf("seed %d: fuller machine %d was offered to before %d", s, o.Node, second.Node)
+		}
+		firsts[o.Node]++
+		seen[o.Node]++
+		seen[second.Node]++
+	}
+	for id := NodeID(1); id <= 6; id++ { // each machine is in a third of the pairs
+		if got := float64(seen[id]) / runs; math.Abs(got-1.0/3) > 0.04 {
+			t.Errorf("machine %d in %.3f of the pairs, want 0.333", id, got)
+		}
+		if want := float64(id-1) / 15 * runs; math.Abs(float64(firsts[id])-want) > 0.04*runs {
+			t.Errorf("machine %d first %d times, want about %.0f", id, firsts[id], want)
+		}
+	}
+}
+
+func TestCrowdedMachineIsSkipped(t *testing.T) {
+	for s := range 200 {
+		p := start(t, config(), uint64(s), fleet(6))
+		m := p.byID[3]
+		m.open = 9
+		if o := offered(t, arrive(p, 100.1, task(1, 0))); o.Node == 3 {
+			t.Fatalf("seed %d: offer went to a machine with more than k contenders", s)
+		}
+	}
+	p := start(t, config(), 1, fleet(6))
+	p.byID[1].pending = []delta{{at: 100, cores: 1, memory: 1, bind: true}}
+	p.now = 101.9
+	if p.contenders(p.byID[1]) != 1 {
+		t.Error("a bind of the last two seconds does not count")
+	}
+	p.now = 102.1
+	if p.contenders(p.byID[1]) != 0 {
+		t.Error("a bind older than two seconds counts")
+	}
+	p.pending = 12
+	if k := p.limit(6); k != 4 {
+		t.Errorf("k is %v for 12 pending on 6 machines, want 4", k)
+	}
+	if k := p.limit(60); k != 1 {
+		t.Errorf("k is %v, want at least 1", k)
+	}
+}
+
+func TestBothRefusedWaitsAndDrawsAfresh(t *testing.T) {
+	p := start(t, config(), 7, fleet(6))
+	o := offered(t, arrive(p, 100.1, task(1, 0)))
+	o2 := offered(t, end(p, 100.2, o, Refused, NoCores))
+	if o2.Node == o.Node {
+		t.Fatal("the second offer went to the machine that refused")
+	}
+	acts := end(p, 100.3, o2, Refused, NoCores)
+	w := only(acts, Wake)
+	if len(only(acts, Offer)) != 0 || len(w) != 1 || w[0].After < 0.5 || w[0].After > 1.5 {
+		t.Fatalf("want a wait of about a second, got %+v", acts)
+	}
+	offered(t, p.Handle(100.3+w[0].After, Event{Kind: Woken, Token: w[0].Token}, nil))
+}
+
+func TestOnceIsNeverRepeatedAfterDoubt(t *testing.T) {
+	for _, r := range []Result{Errored, TimedOut, Lost, Cancelled} {
+		p := start(t, config(), 3, fleet(6))
+		o := offered(t, arrive(p, 100.1, task(1, 1)))
+		acts := end(p, 100.5, o, r, NoReason)
+		if len(only(acts, Offer))+len(only(acts, Refuse)) != 0 || len(only(acts, Fail)) != 1 {
+			t.Errorf("result %d: %+v", r, acts)
+		}
+	}
+	for _, r := range []Result{Refused, Unreachable, Moot} {
+		p := start(t, config(), 3, fleet(6))
+		o := offered(t, arrive(p, 100.1, task(1, 1)))
+		if acts := end(p, 100.5, o, r, NotHere); len(only(acts, Offer)) != 1 {
+			t.Errorf("result %d proves that nothing ran, got %+v", r, acts)
+		}
+	}
+}
+
+func TestKeyedStaysInGroupAndWindow(t *testing.T) {
+	for s := range 100 {
+		p := start(t, config(), uint64(s), fleet(9))
+		o := offered(t, arrive(p, 100.1, task(1, 2)))
+		o2 := offered(t, end(p, 101, o, TimedOut, NoReason))
+		if (o2.Node-1)/3 != (o.Node-1)/3 {
+			t.Fatalf("seed %d: repeat left the rack", s)
+		}
+		acts := end(p, 104.2, o2, Refused, NoCores) // past what the rack remembers
+		if len(only(acts, Offer))+len(only(acts, Refuse)) != 0 || len(only(acts, Fail)) != 1 {
+			t.Fatalf("seed %d: after the window: %+v", s, acts)
+		}
+	}
+}
+
+func TestDrainingAndVanishedMachinesGetNothing(t *testing.T) {
+	nodes := fleet(4)
+	p := start(t, config(), 1, nodes)
+	nodes[0].State = Draining
+	p.Handle(100.1, Event{Kind: Listed, List: Changes, Nodes: nodes[:1]}, nil)
+	p.Handle(100.2, Event{Kind: Listed, List: FullList, Nodes: append([]Node{nodes[0]}, nodes[2:]...)}, nil)
+	for i := range 40 {
+		for _, o := range only(arrive(p, 100.3, task(i+1, 0)), Offer) {
+			if o.Node <= 2 {
+				t.Fatalf("offer to machine %d, which drains or is gone", o.Node)
+			}
+		}
+	}
+}
+
+func TestColdMachineGetsOnlyOwnPart(t *testing.T) {
+	nodes := fleet(1)
+	nodes[0].Since = 98
+	p := start(t, config(), 1, nodes)
+	if acts := arrive(p, 100.1, task(1, 0)); len(only(acts, Offer)) != 0 {
+		t.Fatal("a scheduler that just started does not know what it sent before, yet offered")
+	}
+	n := 0
+	for i := range 20 {
+		k := task(i+10, 0)
+		k.Deadline = 109
+		n += len(only(arrive(p, 103+float64(i)/20, k), Offer))
+	}
+	if n != 4 { // 8 always borne, two peers
+		t.Fatalf("%d offers in a fall window, want this scheduler's part of 4", n)
+	}
+}
+
+func TestMorePeersThanColdOffersTakeTurns(t *testing.T) {
+	c := config()
+	c.Peers = 20
+	sent := 0
+	for self := range c.Peers {
+		c.Self = self
+		nodes := fleet(1)
+		nodes[0].Since = 98
+		p := start(t, c, uint64(self), nodes)
+		for i := range 20 {
+			k := task(i+1, 0)
+			k.Deadline = 109
+			sent += len(only(arrive(p, 103+float64(i)/10, k), Offer))
+		}
+	}
+	if sent == 0 || sent > 8 {
+		t.Fatalf("%d offers in a fall window by 20 peers, want 1 to 8", sent)
+	}
+}
+
+func TestSpreadCountsOffersAndRunningTasks(t *testing.T) {
+	p := start(t, config(), 1, fleet(1))
+	p.Handle(100, Event{Kind: Running, Node: 1, Task: Task{ID: 900, Class: 1, Service: 5, Cores: 1, Memory: 1}}, nil)
+	k := task(1, 1)
+	k.Service = 5
+	o := offered(t, arrive(p, 100.1, k))
+	k.ID = 2
+	if acts := arrive(p, 100.2, k); len(only(acts, Offer)) != 0 {
+		t.Fatal("a third of the service on one machine")
+	}
+	p.Handle(100.3, Event{Kind: Withdrawn, ID: o.Task}, nil) // the attempt is still out and still counts
+	k.ID = 3
+	if acts := arrive(p, 100.4, k); len(only(acts, Offer)) != 0 {
+		t.Fatal("an attempt without an outcome did not count")
+	}
+	end(p, 100.5, o, Cancelled, NoReason)
+	k.ID = 4
+	offered(t, arrive(p, 100.6, k))
+}
+
+func TestImpossibleAsksAreAnsweredAtOnce(t *testing.T) {
+	p := start(t, config(), 1, fleet(4))
+	for i, spoil := range []func(*Task){
+		func(k *Task) { k.Cores = math.NaN() }, func(k *Task) { k.Memory = -1 }, func(k *Task) { k.Class = 99 },
+		func(k *Task) { k.Cores = math.Inf(1) }, func(k *Task) { k.Deadline = 99 }, func(k *Task) { k.Deadline = math.NaN() },
+	} {
+		k := task(i+1, 0)
+		spoil(&k)
+		acts := arrive(p, 100.1, k)
+		if len(only(acts, Offer)) != 0 || len(only(acts, Refuse)) != 1 {
+			t.Errorf("case %d: %+v", i, acts)
+		}
+	}
+}
+
+// A machine full of memory by use, not by ask, evicts: the tasks come again and evict others.
+func TestMemoryInUseMakesAMachineFull(t *testing.T) {
+	c := config()
+	c.BookCores, c.BookMemory, c.ReportsUse = 4, 4, true
+	nodes := fleet(1)
+	nodes[0].FreeMemory = 2
+	p := start(t, c, 1, nodes)
+	if acts := arrive(p, 100.1, task(1, 0)); len(only(acts, Offer)) != 0 {
+		t.Fatal("offer to a machine whose memory is nearly in use")
+	}
+	p.useMemory.mean = 0.5 // tasks use half of what they ask
+	offered(t, arrive(p, 100.2, task(2, 0)))
+}
+
+// A machine without the program starts several times slower than one that runs the service.
+func TestPairsWithoutTheServiceArePassedOver(t *testing.T) {
+	hits := 0
+	for s := range 100 {
+		p := start(t, config(), uint64(s), fleet(4))
+		p.Handle(100, Event{Kind: Running, Node: 2, Task: Task{ID: 900, Service: 5, Cores: 1, Memory: 1}}, nil)
+		k := task(1, 0)
+		k.Service = 5
+		if offered(t, arrive(p, 100.1, k)).Node == 2 {
+			hits++
+		}
+	}
+	if hits < 95 {
+		t.Fatalf("the machine that runs the service was chosen %d times of 100", hits)
+	}
+	p := start(t, config(), 1, fleet(4))
+	p.fresh[0] = average{mean: 0.1, seen: true} // fresh starts are quick here: no exception
+	if p.slowFresh(&ask{}) {
+		t.Fatal("quick fresh starts count as slow")
+	}
+}
+
+// A slow start is not a silent machine.
+func TestPatienceWhereAnswersAreStarts(t *testing.T) {
+	c := config()
+	c.AnswersWhenRunning = true
+	p := start(t, c, 1, fleet(4))
+	for range 50 {
+		p.answers[0].add(0.05, learn)
+	}
+	if o := offered(t, arrive(p, 100.1, task(1, 0))); o.Until < 100.1+2 {
+		t.Fatalf("offer given up after %.2f s", o.Until-100.1)
+	}
+}
+
+// Machines beyond need hold the price of their last tasks until the longest ends.
+func TestReserveGetsNoOffersAndIsTidied(t *testing.T) {
+	c := config()
+	c.FleetPrice, c.MovePrice = 0.2, 0.05
+	nodes := fleet(6)
+	p := start(t, c, 1, nodes)
+	p.Handle(100, Event{Kind: Running, Node: 1, Task: Task{ID: 900, Service: 5, Cores: 1, Memory: 1}}, nil)
+	for i := range 20 {
+		if o := offered(t, arrive(p, 100.1+float64(i)/100, task(i+1, 0))); p.byID[o.Node].reserve {
+			t.Fatalf("offer to machine %d in reserve", o.Node)
+		} else {
+			bind(p, 100.1+float64(i)/100, o)
+		}
+	}
+	moved := false
+	for i := range 40 {
+		p.now = 101 + float64(i)/10
+		p.out = nil
+		p.tidy()
+		for _, a := range only(p.out, Move) {
+			if a.Task != 900 || moved {
+				t.Fatalf("moved %+v", a)
+			}
+			moved = true
+		}
+	}
+	if !moved {
+		t.Fatal("the last task stayed on a machine in reserve")
+	}
+}
+
+func TestStruckMachineIsAvoidedAndOneCrashIsOneStrike(t *testing.T) {
+	p := start(t, config(), 1, fleet(4))
+	p.now = 100
+	for range 20 {
+		p.strike(p.byID[2])
+	}
+	if p.byID[2].strikes != 1 {
+		t.Fatalf("%d strikes of one moment", p.byID[2].strikes)
+	}
+	for i := range 30 {
+		if o := offered(t, arrive(p, 100.1, task(i+1, 0))); o.Node == 2 {
+			t.Fatal("offer to a machine just struck")
+		}
+	}
+	for id := NodeID(1); id <= 4; id++ { // a common cause: the rest must not drown
+		p.byID[id].strikes, p.byID[id].avoidUntil = 3, 200
+	}
+	offered(t, arrive(p, 100.2, task(99, 0)))
+}
+
+func TestListIsAskedAgain(t *testing.T) {
+	c := config()
+	c.MustAsk = true
+	p, err := New(c, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	acts := p.Handle(100, Event{Kind: Listed, List: CachedList, Nodes: fleet(2)}, nil)
+	if len(only(acts, Watch)) != 1 {
+		t.Fatal("the list was not asked for")
+	}
+	now := 100.0
+	for range 5 { // each failure leads to another call, well inside the stated time
+		acts = p.Handle(now, Event{Kind: Listed, List: ListFailed}, nil)
+		asked := now
+		for len(only(acts, Watch)) == 0 {
+			w := only(acts, Wake)
+			if len(w) != 1 {
+				t.Fatalf("no wake for the list: %+v", acts)
+			}
+			now += w[0].After
+			acts = p.Handle(now, Event{Kind: Woken, Token: w[0].Token}, nil)
+			if now-asked > c.AskWithin {
+				t.Fatalf("list unasked for %.1f s", now-asked)
+			}
+		}
+	}
+}
+
+func TestPolicyFileKeepsItsSize(t *testing.T) {
+	f, err := os.Open("placer.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	n, row := 0, 0
+	for s := bufio.NewScanner(f); s.Scan(); {
+		row++
+		if strings.TrimSpace(s.Text()) != "" {
+			n++
+		}
+		if len(strings.ReplaceAll(s.Text(), "\t", "    ")) > 110 {
+			t.Errorf("line %d is over 110 characters", row)
+		}
+	}
+	if n > 850 {
+		t.Errorf("%d lines, at most 850", n)
+	}
+}
+
+// script plays seeded random legal events and checks the five rules on every action.
+type script struct {
+	t     *testing.T
+	c     Config
+	p     *Placer
+	r     *rand.Rand
+	now   float64
+	nodes map[NodeID]Node
+	ids   []NodeID
+	tasks map[TaskID]*fact
+	order []TaskID
+	ticks []tick
+	cold  map[NodeID][]float64
+	log   []string
+}
+
+type tick struct {
+	at    float64
+	token uint64
+}
+
+type try struct {
+	node         Node
+	sent, until  float64
+	out, bound   bool
+	maybe, reply bool
+}
+
+type fact struct {
+	Task
+	tries []*try
+	over  bool
+	final int
+	open  bool
+}
+
+func (s *script) handle(ev Event) {
+	for _, a := range s.p.Handle(s.now, ev, nil) {
+		s.check(a)
+	}
+}
+
+func (s *script) check(a Action) {
+	s.log = append(s.log, fmt.Sprintf("%.3f %+v", s.now, a))
+	bad := func(f string, x ...any) { s.t.Fatalf("at %.3f, %+v: %s", s.now, a, fmt.Sprintf(f, x...)) }
+	if a.Kind == Wake {
+		s.ticks = append(s.ticks, tick{s.now + a.After, a.Token})
+		return
+	}
+	if a.Kind == Watch || a.Kind == Fetch {
+		return
+	}
+	f := s.tasks[a.Task]
+	if f == nil {
+		bad("no such task")
+	}
+	if a.Kind == Move {
+		if len(f.tries) == 0 || !f.tries[len(f.tries)-1].bound {
+			bad("moved a task that is not bound")
+		}
+		return
+	}
+	if f.over || f.final > 0 {
+		bad("rule 1: the task is over")
+	}
+	c := s.c.Classes[f.Class]
+	var doubt *try
+	for _, x := range f.tries {
+		if x.maybe && doubt == nil {
+			doubt = x
+		}
+		if x.out && a.Kind != Fail {
+			bad("rule 2: an attempt is out")
+		}
+	}
+	if a.Kind == Refuse || a.Kind == Fail {
+		f.final++
+		f.over = true
+		if s.now > f.Deadline+s.c.AnswerSlack {
+			bad("rule 1: %.3f s late", s.now-f.Deadline)
+		}
+		if a.Kind == Refuse && doubt != nil && c.Effect != Repeatable && !(c.Effect == Keyed && c.Group == Everywhere) {
+			bad("rule 2: refused after doubt")
+		}
+		return
+	}
+	n := s.nodes[a.Node]
+	if doubt != nil {
+		if c.Effect == Once || c.Effect == Keyed && (n.Rack != doubt.node.Rack || s.now > doubt.sent+c.Remembers) {
+			bad("rule 2: sent after doubt")
+		}
+	}
+	if n.State != Ready || len(f.tries) >= s.c.MaxAttempts || c.NodeKind >= 0 && c.NodeKind != n.Kind {
+		bad("rule 3, attempts or kind: node %+v", n)
+	}
+	if n.Since > 0 && s.now-n.Since < s.c.WarmWithin {
+		k := 1
+		for _, at := range s.cold[n.ID] {
+			if s.now-at <= s.c.FallWindow {
+				k++
+			}
+		}
+		if float64(k) > s.c.ColdAlways/float64(s.c.Peers) {
+			bad("rule 4: %d in a window", k)
+		}
+		s.cold[n.ID] = append(s.cold[n.ID], s.now)
+	}
+	if c.Apart != NoPlace {
+		k := 1
+		for _, g := range s.tasks {
+			for _, x := range g.tries {
+				if g.Service == f.Service && (x.out || x.bound) &&
+					(x.node.ID == n.ID || c.Apart == Rack && x.node.Rack == n.Rack) {
+					k++
+				}
+			}
+		}
+		if k > c.Most {
+			bad("rule 5: %d of the service together", k)
+		}
+	}
+	f.tries = append(f.tries, &try{node: n, sent: s.now, until: a.Until, out: true})
+}
+
+func (s *script) ended(f *fact, i int, r Result, why Reason) {
+	x := f.tries[i]
+	over := f.over || x.bound
+	if !x.bound && r != Refused && r != Unreachable && r != Moot {
+		x.maybe = true
+	}
+	x.out, x.bound = false, false
+	if over {
+		f.over = true
+	}
+	ev := Event{Kind: Ended, ID: f.ID, Attempt: i, Node: x.node.ID, Result: r, Reason: why, Over: over,
+		Elapsed: s.now - x.sent}
+	if s.r.IntN(2) == 0 {
+		ev.Report = &Report{s.r.Float64() * 16, s.r.Float64() * 32, s.r.Float64(), math.NaN()}
+	}
+	s.handle(ev)
+}
+
+func (s *script) step(i int) {
+	s.now += 0.005
+	for k := 0; k < len(s.ticks); {
+		if w := s.ticks[k]; w.at <= s.now {
+			s.ticks = append(s.ticks[:k], s.ticks[k+1:]...)
+			s.handle(Event{Kind: Woken, Token: w.token})
+			continue
+		}
+		k++
+	}
+	for _, id := range s.order {
+		f := s.tasks[id]
+		for k, x := range f.tries {
+			switch {
+			case x.out && s.now >= x.until:
+				s.ended(f, k, TimedOut, NoReason)
+			case x.out && s.r.IntN(12) == 0:
+				switch v := s.r.IntN(12); {
+				case v < 5 && !f.over:
+					x.out, x.bound, f.over = false, true, true
+					s.handle(Event{Kind: Bound, ID: f.ID, Attempt: k, Node: x.node.ID, Elapsed: s.now - x.sent})
+				case v < 8:
+					s.ended(f, k, Refused, Reason(1+s.r.IntN(4)))
+				case v < 9:
+					s.ended(f, k, Unreachable, NoReason)
+				case v < 10:
+					s.ended(f, k, Errored, NoReason)
+				case v < 11:
+					s.ended(f, k, Lost, NoReason)
+				}
+			case x.bound && s.r.IntN(400) == 0:
+				s.ended(f, k, []Result{Finished, Lost, Cancelled}[s.r.IntN(3)], Reason(s.r.IntN(8)))
+			}
+		}
+		if !f.over && s.r.IntN(2000) == 0 {
+			f.over = true
+			s.handle(Event{Kind: Withdrawn, ID: id})
+		}
+		if !f.over && s.now > f.Deadline+s.c.AnswerSlack {
+			s.t.Fatalf("rule 1: task %d has no answer", id)
+		}
+	}
+	if s.r.IntN(8) == 0 {
+		id := TaskID(i + 1)
+		k := Task{ID: id, Class: s.r.IntN(len(s.c.Classes)), Service: ServiceID(s.r.IntN(9)), Cores: s.r.Float64() * 3,
+			Memory: s.r.Float64() * 6, Deadline: s.now + 0.5 + 5*s.r.Float64()}
+		k.Service = ServiceID(uint64(k.Class)*100 + uint64(k.Service))
+		s.tasks[id] = &fact{Task: k}
+		s.order = append(s.order, id)
+		if s.r.IntN(10) == 0 {
+			n := s.nodes[s.ids[s.r.IntN(len(s.ids))]]
+			s.tasks[id].over = true
+			s.tasks[id].tries = []*try{{node: n, sent: s.now, bound: true}}
+			s.handle(Event{Kind: Running, Task: k, Node: n.ID})
+		} else {
+			s.handle(Event{Kind: Arrived, Task: k})
+		}
+	}
+	if s.r.IntN(150) == 0 {
+		n := s.nodes[s.ids[s.r.IntN(len(s.ids))]]
+		switch s.r.IntN(4) {
+		case 0:
+			n.State = Draining
+		case 1:
+			n.State = Gone
+		case 2:
+			n.State, n.Since = Ready, s.now-s.r.Float64()
+		case 3:
+			n.State = Ready
+			n.FreeCores = s.r.Float64() * 32
+		}
+		s.nodes[n.ID] = n
+		s.handle(Event{Kind: Listed, List: Changes, Nodes: []Node{n}})
+	}
+	if s.r.IntN(900) == 0 {
+		var all []Node
+		for _, id := range s.ids {
+			n := s.nodes[id]
+			if s.r.IntN(9) == 0 {
+				n.State = Gone
+				s.nodes[id] = n
+			}
+			if n.State != Gone {
+				all = append(all, n)
+			}
+		}
+		s.handle(Event{Kind: Listed, List: FullList, Nodes: all})
+	}
+	if s.r.IntN(500) == 0 {
+		s.handle(Event{Kind: Listed, List: ListFailed})
+	}
+	if i%400 == 0 { // forget what is long over
+		keep := s.order[:0]
+		for _, id := range s.order {
+			f, live := s.tasks[id], false
+			for _, x := range f.tries {
+				live = live || x.out || x.bound
+			}
+			if !live && f.over {
+				delete(s.tasks, id)
+			} else {
+				keep = append(keep, id)
+			}
+		}
+		s.order = keep
+	}
+}
+
+func play(t *testing.T, seed uint64, steps int) []string {
+	c := config()
+	c.Self, c.MustAsk = int(seed%2), seed%3 == 0
+	c.FleetPrice, c.MovePrice, c.ReportsUse, c.AnswersWhenRunning = 0.1*float64(seed%2), 0.05, seed%2 == 0, seed%5 == 0
+	s := &script{t: t, c: c, r: rand.New(rand.NewPCG(seed, 1)), now: 50, nodes: map[NodeID]Node{},
+		tasks: map[TaskID]*fact{}, cold: map[NodeID][]float64{}}
+	for _, n := range fleet(9) {
+		s.nodes[n.ID] = n
+		s.ids = append(s.ids, n.ID)
+	}
+	var err error
+	if s.p, err = New(c, seed); err != nil {
+		t.Fatal(err)
+	}
+	s.handle(Event{Kind: Listed, List: CachedList, Nodes: fleet(9)})
+	for i := range steps {
+		s.step(i)
+	}
+	if n := len(s.p.tasks); n > len(s.order)+1 {
+		t.Fatalf("%d tasks are kept, %d live", n, len(s.order))
+	}
+	return s.log
+}
+
+func TestRulesOnRandomLegalEvents(t *testing.T) {
+	for seed := range uint64(12) {
+		log := play(t, seed, 8000)
+		offers := 0
+		for _, l := range log {
+			if strings.Contains(l, "{Kind:1 ") {
+				offers++
+			}
+		}
+		if offers < 300 {
+			t.Fatalf("seed %d: only %d offers, the script tests nothing", seed, offers)
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	a, b := play(t, 5, 5000), play(t, 5, 5000)
+	if !reflect.DeepEqual(a, b) {
+		t.Fatal("two runs of the same events differ")
+	}
+}
