--- a/placer/placer.go
+++ b/placer/placer.go
@@ -31,7 +31,7 @@
 	packKeep    = 0.85 // of packTo, under which an open one is closed again
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
-	shortOfRoom = 0.85 // of what the fleet bears is used when tenants beyond their share begin to wait
+	shortOfRoom = 0.95 // of what the fleet bears is used when tenants beyond their share begin to wait
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -343,7 +343,7 @@
 			mem += m.memory
 		}
 	}
-	p.fill = max(uc/max(c*calm, 1e-9), um/max(mem*memoryTight, 1e-9), ac/max(c*p.cfg.BookCores, 1e-9),
+	p.fill = max(uc/max(c, 1e-9), um/max(mem*memoryTight, 1e-9), ac/max(c*p.cfg.BookCores, 1e-9),
 		am/max(mem*p.cfg.BookMemory, 1e-9))
 }
 
