--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,6 +32,7 @@
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	shortOfRoom = 0.95 // of what the fleet bears is used when tenants beyond their share begin to wait
+	farOver     = 1.5  // shares from which a tenant is beyond its own: a little over is usual when all are busy
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -354,7 +355,7 @@
 		return false
 	}
 	quota := p.cfg.Tenants[t.Tenant].Cores
-	return quota > 0 && p.tenants[t.Tenant]/p.held*p.asked > quota
+	return quota > 0 && p.tenants[t.Tenant]/p.held*p.asked > quota*farOver
 }
 
 // tidy moves the last own tasks off a machine that has been in reserve for long: they would keep it in use
