--- a/placer/placer.go
+++ b/placer/placer.go
@@ -31,8 +31,6 @@
 	packKeep    = 0.85 // of packTo, under which an open one is closed again
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
-	shortOfRoom = 0.95 // of what the fleet bears is used when tenants beyond their share begin to wait
-	farOver     = 1.5  // shares from which a tenant is beyond its own: a little over is usual when all are busy
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -58,10 +56,6 @@
 	spare     []*machine
 	sorted    []*machine
 	packed    bool
-	tenants   []float64 // cores of own bound tasks, per tenant
-	held      float64   // and of all
-	asked     float64   // cores asked of all machines, as far as known
-	fill      float64   // of what the fleet bears
 	packedAt  float64
 	answers   []average // time to an answer, per class
 	fresh     []average // time to a start on a machine that held no own task of the service, per class
@@ -93,7 +87,7 @@
 		wakes: map[uint64]wakeup{}, answers: make([]average, len(cfg.Classes)),
 		fresh:    make([]average, len(cfg.Classes)),
 		useCores: average{mean: 1}, useMemory: average{mean: 1},
-		shortAim: math.Inf(1), tenants: make([]float64, len(cfg.Tenants)),
+		shortAim: math.Inf(1),
 	}
 	for i, c := range cfg.Classes {
 		if !(c.Aim > 0) || !(c.Deadline > 0) {
@@ -179,7 +173,6 @@
 	t.attempts = append(t.attempts, a)
 	p.tasks[t.ID] = t
 	m.hold(a)
-	p.tally(t, t.Cores)
 	p.addService(a)
 }
 
@@ -274,6 +267,7 @@
 		p.pool = append(p.pool[:0], p.spare...)
 	}
 	// Machines held in reserve are passed over while others have room.
+	p.pack()
 	p.pool = prefer(p.pool, func(m *machine) bool { return !m.reserve })
 	// Cores in use beyond what the class bears spoil the service of all that run there.
 	return prefer(p.pool, func(m *machine) bool { return m.busyAfter <= 0 })
@@ -299,7 +293,7 @@
 // small one, then by number. What the list shows as asked, at the learned use, must fit the open ones with
 // some room.
 func (p *Placer) pack() {
-	if !p.cfg.ListShowsRoom || p.packed && p.now-p.packedAt < window/20 {
+	if !(p.cfg.FleetPrice > 0) || !p.cfg.ListShowsRoom || p.packed && p.now-p.packedAt < window/20 {
 		return
 	}
 	p.packed, p.packedAt = true, p.now
@@ -320,7 +314,6 @@
 		calm = min(calm, k.CalmUpTo)
 	}
 	uc, um = ac*p.useCores.mean, am*p.useMemory.mean
-	p.asked = ac
 	slices.SortFunc(p.sorted, func(a, b *machine) int {
 		if a.cores != b.cores {
 			return cmp.Compare(b.cores, a.cores)
@@ -334,7 +327,7 @@
 			to *= packKeep // what is open stays open for a while: each change leaves tasks behind on machines
 		}
 		was := m.reserve
-		m.reserve = p.cfg.FleetPrice > 0 && i > 1 && uc <= c*calm*to && um <= mem*memoryTight*to &&
+		m.reserve = i > 1 && uc <= c*calm*to && um <= mem*memoryTight*to &&
 			ac <= c*p.cfg.BookCores*to && am <= mem*p.cfg.BookMemory*to
 		if m.reserve && !was {
 			m.reserveSince = p.now
@@ -344,18 +337,6 @@
 			mem += m.memory
 		}
 	}
-	p.fill = max(uc/max(c, 1e-9), um/max(mem*memoryTight, 1e-9), ac/max(c*p.cfg.BookCores, 1e-9),
-		am/max(mem*p.cfg.BookMemory, 1e-9))
-}
-
-// overShare says whether the task is beyond its tenant's share while room is short. What this scheduler has of the
-// tenant, against all that it has and all that the list shows as asked, stands for the whole.
-func (p *Placer) overShare(t *ask) bool {
-	if t.Tenant < 0 || t.Tenant >= len(p.tenants) || p.fill < shortOfRoom || p.held <= 0 {
-		return false
-	}
-	quota := p.cfg.Tenants[t.Tenant].Cores
-	return quota > 0 && p.tenants[t.Tenant]/p.held*p.asked > quota*farOver
 }
 
 // tidy moves the last own tasks off a machine that has been in reserve for long: they would keep it in use
@@ -569,11 +550,6 @@
 			return
 		}
 	}
-	p.pack()
-	if p.overShare(t) {
-		p.hold(t, noneWait*wait)
-		return
-	}
 	first, second := p.draw(t)
 	if first == nil {
 		p.hold(t, noneWait*wait)
@@ -646,7 +622,6 @@
 	p.rebook(m, a.sent, t, true)
 	a.fresh = m.services[t.Service] == 0
 	m.hold(a)
-	p.tally(t, t.Cores)
 	p.answers[t.Class].add(ev.Elapsed, learn)
 	if p.cfg.AnswersWhenRunning && a.fresh {
 		p.fresh[t.Class].add(ev.Elapsed, learn)
@@ -684,7 +659,6 @@
 	}
 	if a.bound {
 		m.release(a)
-		p.tally(t, -t.Cores)
 		m.pending = append(m.pending, delta{at: p.now, cores: -t.Cores, memory: -t.Memory})
 	} else {
 		m.open--
--- a/placer/state.go
+++ b/placer/state.go
@@ -175,11 +175,3 @@
 		delete(p.tasks, t.ID)
 	}
 }
-
-// tally counts cores of own bound tasks.
-func (p *Placer) tally(t *ask, cores float64) {
-	p.held += cores
-	if t.Tenant >= 0 && t.Tenant < len(p.tenants) {
-		p.tenants[t.Tenant] += cores
-	}
-}
