--- a/placer/placer.go
+++ b/placer/placer.go
@@ -31,6 +31,7 @@
 	packKeep    = 0.85 // of packTo, under which an open one is closed again
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
+	leaveFor    = 2.5  // windows to avoid a machine that sends tasks away: lists tell seconds late
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -712,15 +713,27 @@
 				m.fullCores, m.fullMemory = 0, 0
 			}
 		}
+		if ev.Reason == NotHere && a.t.doubt == nil && p.cfg.Classes[a.t.Class].Effect != Keyed {
+			p.leaving(m)
+		}
 	case Errored, Unreachable, TimedOut:
 		p.strike(m)
 	case Lost:
 		if ev.Reason == NoReason {
 			p.strike(m)
+		} else if ev.Reason == SentAway {
+			p.leaving(m)
 		}
 	}
 }
 
+// leaving avoids a machine that sends tasks away or takes none before the list says why: it drains, and the room
+// that its tasks leave behind would draw every offer. Covers any machine that empties itself.
+func (p *Placer) leaving(m *machine) {
+	p.strike(m)
+	m.avoidUntil = max(m.avoidUntil, p.now+leaveFor*window)
+}
+
 // strike avoids a machine for a while, twice as long each time. Strikes of one moment count once: a crash
 // that loses twenty tasks is one event.
 func (p *Placer) strike(m *machine) {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -736,3 +736,15 @@
 		t.Fatal("two runs of the same events differ")
 	}
 }
+
+// A machine that drains before the list says so frees room with every task it sends away, and draws all offers.
+func TestMachineThatSendsTasksAwayIsAvoided(t *testing.T) {
+	p := start(t, config(), 1, fleet(4))
+	p.Handle(100, Event{Kind: Running, Node: 2, Task: Task{ID: 900, Service: 5, Cores: 1, Memory: 1}}, nil)
+	end(p, 100.1, Action{Task: 900}, Lost, SentAway)
+	for i := range 30 {
+		if o := offered(t, arrive(p, 103, Task{ID: TaskID(i + 1), Cores: 1, Memory: 1, Deadline: 108})); o.Node == 2 {
+			t.Fatal("offer to a machine that sends its tasks away")
+		}
+	}
+}
