Offers and programs just left count as holding a service

Covers restart waves of services; hurts when kept programs were voided: the start is then as slow as anywhere.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,6 +32,7 @@
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	leaveFor    = 2.5  // windows to avoid a machine that sends tasks away: lists tell seconds late
+	keptOwn     = 4    // own programs that a machine is taken to keep after their last task
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -239,7 +240,7 @@
 	for _, n := range ev.Nodes {
 		m := p.machine(n.ID)
 		if m.known && n.Since != m.Since {
-			m.strikes, m.avoidUntil, m.fullUntil = 0, 0, 0
+			m.strikes, m.avoidUntil, m.fullUntil, m.kept = 0, 0, 0, m.kept[:0]
 			m.pending, m.reported = m.pending[:0], false
 		}
 		m.Node, m.known = n, true
@@ -456,8 +457,8 @@
 			}
 			b = set[j]
 		}
-		aIn := p.contenders(a) <= k && (!holders || a.services[t.Service] > 0)
-		bIn := b != nil && p.contenders(b) <= k && (!holders || b.services[t.Service] > 0)
+		aIn := p.contenders(a) <= k && (!holders || a.runs(t.Service))
+		bIn := b != nil && p.contenders(b) <= k && (!holders || b.runs(t.Service))
 		switch {
 		case aIn && bIn:
 			return p.emptier(t, a, b)
@@ -485,7 +486,7 @@
 
 func (p *Placer) anyHolds(t *ask, set []*machine) bool {
 	for _, m := range set {
-		if m.services[t.Service] > 0 {
+		if m.runs(t.Service) {
 			return true
 		}
 	}
@@ -561,7 +562,7 @@
 }
 
 func (p *Placer) offer(t *ask, m *machine) {
-	a := &attempt{m: m, t: t, sent: p.now, out: true}
+	a := &attempt{m: m, t: t, sent: p.now, out: true, fresh: !m.runs(t.Service)}
 	t.attempts = append(t.attempts, a)
 	m.open++
 	m.pending = append(m.pending, delta{at: p.now, cores: t.Cores, memory: t.Memory})
@@ -621,7 +622,6 @@
 	m := a.m
 	m.open--
 	p.rebook(m, a.sent, t, true)
-	a.fresh = m.services[t.Service] == 0
 	m.hold(a)
 	p.answers[t.Class].add(ev.Elapsed, learn)
 	if p.cfg.AnswersWhenRunning && a.fresh {
@@ -660,6 +660,9 @@
 	}
 	if a.bound {
 		m.release(a)
+		if m.services[t.Service] == 0 {
+			m.keep(t.Service, keptOwn)
+		}
 		m.pending = append(m.pending, delta{at: p.now, cores: -t.Cores, memory: -t.Memory})
 	} else {
 		m.open--
@@ -727,8 +730,8 @@
 	}
 }
 
-// leaving avoids a machine that sends tasks away or takes none before the list says why: it drains, and the room
-// that its tasks leave behind would draw every offer. Covers any machine that empties itself.
+// leaving avoids a machine that sends tasks away or takes none before the list says why: it drains, and the
+// room that its tasks leave behind would draw every offer. Covers any machine that empties itself.
 func (p *Placer) leaving(m *machine) {
 	p.strike(m)
 	m.avoidUntil = max(m.avoidUntil, p.now+leaveFor*window)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -748,3 +748,22 @@
 		}
 	}
 }
+
+// The tasks of a service come in batches: none runs yet when the second comes, and a program outlives its tasks.
+func TestOffersAndKeptProgramsCountAsHolding(t *testing.T) {
+	p := start(t, config(), 3, fleet(4))
+	k := task(1, 0)
+	o := offered(t, arrive(p, 100.1, k))
+	k.ID, k.Service = 2, 1
+	o2 := offered(t, arrive(p, 100.1, k))
+	if o2.Node != o.Node {
+		t.Fatalf("second of a batch went to %d, the first is offered to %d", o2.Node, o.Node)
+	}
+	for _, x := range []Action{o, o2} {
+		bind(p, 100.2, x)
+		end(p, 101, x, Finished, NoReason)
+	}
+	if !p.byID[o.Node].runs(1) {
+		t.Fatal("the program was forgotten with its last task")
+	}
+}
--- a/placer/state.go
+++ b/placer/state.go
@@ -1,5 +1,7 @@
 package placer
 
+import "slices"
+
 // machine is what is known of one node.
 type machine struct {
 	Node
@@ -19,7 +21,8 @@
 	strikes       int
 	struckAt      float64
 	avoidUntil    float64
-	services      map[ServiceID]int // own tasks that run here
+	services      map[ServiceID]int // own tasks that run here or are offered
+	kept          []ServiceID       // services whose last own task left, the latest last
 	held          []*attempt        // own tasks bound here
 	reserveSince  float64
 }
@@ -121,27 +124,40 @@
 	a.dev += (d - a.dev) * weight
 }
 
+// runs says whether the machine holds or has just held an own task of the service, or is offered one.
+func (m *machine) runs(s ServiceID) bool { return m.services[s] > 0 || slices.Contains(m.kept, s) }
+
+// keep notes that the program of a service is on the machine though no own task of it is left.
+func (m *machine) keep(s ServiceID, most int) {
+	if i := slices.Index(m.kept, s); i >= 0 {
+		m.kept = slices.Delete(m.kept, i, i+1)
+	}
+	if m.kept = append(m.kept, s); len(m.kept) > most {
+		m.kept = slices.Delete(m.kept, 0, 1)
+	}
+}
+
 // hold and release keep the list of own tasks bound to a machine.
 func (m *machine) hold(a *attempt) {
 	a.slot = len(m.held)
 	m.held = append(m.held, a)
-	m.services[a.t.Service]++
 }
 
 func (m *machine) release(a *attempt) {
 	last := m.held[len(m.held)-1]
 	m.held[a.slot], last.slot = last, a.slot
 	m.held = m.held[:len(m.held)-1]
-	if m.services[a.t.Service]--; m.services[a.t.Service] <= 0 {
-		delete(m.services, a.t.Service)
-	}
 }
 
 func (p *Placer) addService(a *attempt) {
+	a.m.services[a.t.Service]++
 	p.byService[a.t.Service] = append(p.byService[a.t.Service], a)
 }
 
 func (p *Placer) dropService(a *attempt) {
+	if a.m.services[a.t.Service]--; a.m.services[a.t.Service] <= 0 {
+		delete(a.m.services, a.t.Service)
+	}
 	s := p.byService[a.t.Service]
 	for i, b := range s {
 		if b == a {
