--- a/placer/placer.go
+++ b/placer/placer.go
@@ -254,18 +254,27 @@
 // or all with room where these are too few.
 func (p *Placer) filter(t *ask) []*machine {
 	p.pool, p.spare = p.pool[:0], p.spare[:0]
+	allowed, sound := 0, 0
 	for _, m := range p.machines {
-		if p.legal(t, m) && p.fits(t, m) {
-			p.spare = append(p.spare, m)
+		if !p.legal(t, m) {
+			continue
 		}
-	}
-	for _, m := range p.spare {
-		if p.trusted(t, m) {
-			p.pool = append(p.pool, m)
+		allowed++
+		ok := p.trusted(t, m)
+		if ok {
+			sound++
+		}
+		if p.fits(t, m) {
+			p.spare = append(p.spare, m)
+			if ok {
+				p.pool = append(p.pool, m)
+			}
 		}
 	}
 	// Mistrust must not leave so few machines that these drown: a cause common to many is no machine's fault.
-	if len(p.pool)*fewTrusted < len(p.spare) || len(p.pool) == 0 {
+	// Room does not count here: a dead machine shows the room of the tasks it lost and would draw all offers, and
+	// use up all attempts, as soon as the sound ones are full.
+	if sound*fewTrusted < allowed {
 		p.pool = append(p.pool[:0], p.spare...)
 	}
 	// Machines held in reserve are passed over while others have room.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -767,3 +767,17 @@
 		t.Fatal("the program was forgotten with its last task")
 	}
 }
+
+// A dead machine shows room; when the sound ones are full it would take every attempt of every task in a moment.
+func TestFullSoundMachinesDoNotSendTasksToDeadOnes(t *testing.T) {
+	nodes := fleet(4)
+	for i := range 3 {
+		nodes[i].FreeCores = 0
+	}
+	p := start(t, config(), 1, nodes)
+	p.now = 100
+	p.strike(p.byID[4])
+	if acts := arrive(p, 100.1, task(1, 0)); len(only(acts, Offer)) != 0 {
+		t.Fatalf("offer to a machine just struck: %+v", acts)
+	}
+}
