--- a/placer/placer.go
+++ b/placer/placer.go
@@ -205,18 +205,6 @@
 	}
 }
 
-func (p *Placer) wakeIn(t *ask, kind wakeKind, after float64) {
-	p.nextWake++
-	p.wakes[p.nextWake] = wakeup{t, kind}
-	switch kind {
-	case wakeRedraw:
-		t.wake = p.nextWake
-	case wakeList:
-		p.listWake = p.nextWake
-	}
-	p.out = append(p.out, Action{Kind: Wake, Token: p.nextWake, After: max(after, 0)})
-}
-
 // ---- filter ----
 
 // listed brings the books in line with the list. A machine that a full list leaves out is gone; one with a
@@ -284,21 +272,6 @@
 	return prefer(p.pool, func(m *machine) bool { return m.busyAfter <= 0 })
 }
 
-// prefer keeps those of the set that are wanted, or all if none is.
-func prefer(set []*machine, want func(*machine) bool) []*machine {
-	n := 0
-	for _, m := range set {
-		if want(m) {
-			set[n] = m
-			n++
-		}
-	}
-	if n > 0 {
-		return set[:n]
-	}
-	return set
-}
-
 // pack holds machines in reserve where machines in use have a price and the list shows that fewer would do.
 // All schedulers see the same list and agree without a word: large machines first, for one costs as much as a
 // small one, then by number. What the list shows as asked, at the learned use, must fit the open ones with
@@ -641,19 +614,6 @@
 	p.close(t)
 }
 
-// rebook replaces the entry of an open offer by a bind of now, or takes it out.
-func (p *Placer) rebook(m *machine, sent float64, t *ask, bind bool) {
-	for i, d := range m.pending {
-		if d.at == sent && !d.bind && d.cores == t.Cores && d.memory == t.Memory {
-			m.pending = append(m.pending[:i], m.pending[i+1:]...)
-			break
-		}
-	}
-	if bind {
-		m.pending = append(m.pending, delta{at: p.now, cores: t.Cores, memory: t.Memory, bind: true})
-	}
-}
-
 func (p *Placer) ended(ev Event) {
 	t := p.tasks[ev.ID]
 	if t == nil || ev.Attempt < 0 || ev.Attempt >= len(t.attempts) || !t.attempts[ev.Attempt].out {
@@ -811,19 +771,6 @@
 	return false
 }
 
-// together says whether two machines share a place of the given kind.
-func together(where Place, a, b *machine) bool {
-	switch where {
-	case Everywhere:
-		return true
-	case Zone:
-		return a.known && b.known && a.Node.Zone == b.Node.Zone
-	case Rack:
-		return a.known && b.known && a.Node.Rack == b.Node.Rack
-	}
-	return a == b
-}
-
 func (p *Placer) cold(m *machine) bool {
 	return m.Since > 0 && p.now-m.Since < p.cfg.WarmWithin
 }
--- a/placer/state.go
+++ b/placer/state.go
@@ -191,3 +191,56 @@
 		delete(p.tasks, t.ID)
 	}
 }
+
+// rebook replaces the entry of an open offer by a bind of now, or takes it out.
+func (p *Placer) rebook(m *machine, sent float64, t *ask, bind bool) {
+	for i, d := range m.pending {
+		if d.at == sent && !d.bind && d.cores == t.Cores && d.memory == t.Memory {
+			m.pending = append(m.pending[:i], m.pending[i+1:]...)
+			break
+		}
+	}
+	if bind {
+		m.pending = append(m.pending, delta{at: p.now, cores: t.Cores, memory: t.Memory, bind: true})
+	}
+}
+
+// together says whether two machines share a place of the given kind.
+func together(where Place, a, b *machine) bool {
+	switch where {
+	case Everywhere:
+		return true
+	case Zone:
+		return a.known && b.known && a.Node.Zone == b.Node.Zone
+	case Rack:
+		return a.known && b.known && a.Node.Rack == b.Node.Rack
+	}
+	return a == b
+}
+
+// prefer keeps those of the set that are wanted, or all if none is.
+func prefer(set []*machine, want func(*machine) bool) []*machine {
+	n := 0
+	for _, m := range set {
+		if want(m) {
+			set[n] = m
+			n++
+		}
+	}
+	if n > 0 {
+		return set[:n]
+	}
+	return set
+}
+
+func (p *Placer) wakeIn(t *ask, kind wakeKind, after float64) {
+	p.nextWake++
+	p.wakes[p.nextWake] = wakeup{t, kind}
+	switch kind {
+	case wakeRedraw:
+		t.wake = p.nextWake
+	case wakeList:
+		p.listWake = p.nextWake
+	}
+	p.out = append(p.out, Action{Kind: Wake, Token: p.nextWake, After: max(after, 0)})
+}
