--- a/placer/placer.go
+++ b/placer/placer.go
@@ -25,7 +25,7 @@
 	maxStrikes  = 5    // doubles the time a machine is avoided, at most so many times
 	firstAvoid  = 1.0  // aims for which a machine is avoided after its first strike
 	learn       = 0.1  // weight of a new reading in running means
-	lowerPart   = 0.5  // of what lower priorities use that is taken to crowd a class
+	fadeBorne   = 0.25 // of the fade of a class's service that is borne before a machine counts as too full
 	packTo      = 0.8  // of what open machines bear is used before one more is opened
 	runPatience = 0.4  // of the deadline, where the answer is the start: slow fresh starts are no silence
 	packKeep    = 0.85 // of packTo, under which an open one is closed again
@@ -64,7 +64,6 @@
 	useCores  average   // use over ask, all machines
 	useMemory average
 	shortAim  float64
-	classes   []float64 // cores of own bound tasks, per class
 
 	listAsked, listHeard float64
 	listFails            int
@@ -90,7 +89,7 @@
 		wakes: map[uint64]wakeup{}, answers: make([]average, len(cfg.Classes)),
 		fresh:    make([]average, len(cfg.Classes)),
 		useCores: average{mean: 1}, useMemory: average{mean: 1},
-		shortAim: math.Inf(1), classes: make([]float64, len(cfg.Classes)),
+		shortAim: math.Inf(1),
 	}
 	for i, c := range cfg.Classes {
 		if !(c.Aim > 0) || !(c.Deadline > 0) {
@@ -176,7 +175,6 @@
 	t.attempts = append(t.attempts, a)
 	p.tasks[t.ID] = t
 	m.hold(a)
-	p.tally(t, t.Cores)
 	p.addService(a)
 }
 
@@ -262,7 +260,8 @@
 		}
 	}
 	// Mistrust must not leave so few machines that these drown: a cause common to many is no machine's fault.
-	// Room does not count here: a dead machine shows the room of the tasks it lost and would draw all offers, and
+	// Room does not count here: a dead machine shows the room of the tasks it lost and would draw all
+	// offers, and
 	// use up all attempts, as soon as the sound ones are full.
 	if sound*fewTrusted < allowed {
 		p.pool = append(p.pool[:0], p.spare...)
@@ -380,29 +379,9 @@
 			um = max(um, m.memory-m.report.FreeMemory+rm) // memory of young tasks still grows
 		}
 	}
-	// Past the limit each further task takes more service from the others than it gets. Readings swing with every
-	// start, so the machine's own smoothed use stands for what its tasks use.
-	use := p.useCores.mean
-	if m.use.seen {
-		use = m.use.mean
-	}
-	limit := p.coreLimit(t.Class) * m.cores
-	m.busyAfter = uc + t.Cores*p.useCores.mean - limit
-	return um+t.Memory*p.useMemory.mean <= memoryTight*m.memory && (m.cores-c+t.Cores)*use <= limit
-}
-
-// coreLimit is the part of a machine's cores up to which tasks of the class serve best together: where its service
-// fades, they gain by number and lose by crowding. Only its own and higher priorities count in full.
-func (p *Placer) coreLimit(class int) float64 {
-	k := &p.cfg.Classes[class]
-	all, above := 1e-9, 1e-9
-	for i, c := range p.classes {
-		all += c
-		if p.cfg.Classes[i].Priority >= k.Priority {
-			above += c
-		}
-	}
-	return max(k.CalmUpTo, (k.CalmUpTo+k.FadesOver)/2) / (lowerPart + (1-lowerPart)*above/all)
+	k := &p.cfg.Classes[t.Class]
+	m.busyAfter = (uc+t.Cores*p.useCores.mean)/m.cores - (k.CalmUpTo + k.FadesOver*fadeBorne)
+	return um+t.Memory*p.useMemory.mean <= memoryTight*m.memory
 }
 
 // learnUse keeps how much of what is asked is used, over all machines heard from.
@@ -412,10 +391,8 @@
 		return
 	}
 	if r := m.report.Busy; !math.IsNaN(r) {
-		m.use.add(r*m.cores/(m.cores-c), learn)
 		p.useCores.add(r*m.cores/(m.cores-c), learn/2)
 	} else if r := m.report.FreeCores; p.cfg.ReportsUse && !math.IsNaN(r) {
-		m.use.add((m.cores-r)/(m.cores-c), learn)
 		p.useCores.add((m.cores-r)/(m.cores-c), learn/2)
 	}
 	if r := m.report.FreeMemory; p.cfg.ReportsUse && !math.IsNaN(r) {
@@ -629,7 +606,6 @@
 	m.open--
 	p.rebook(m, a.sent, t, true)
 	m.hold(a)
-	p.tally(t, t.Cores)
 	p.answers[t.Class].add(ev.Elapsed, learn)
 	if p.cfg.AnswersWhenRunning && a.fresh {
 		p.fresh[t.Class].add(ev.Elapsed, learn)
@@ -654,7 +630,6 @@
 	}
 	if a.bound {
 		m.release(a)
-		p.tally(t, -t.Cores)
 		if m.services[t.Service] == 0 {
 			m.keep(t.Service, keptOwn)
 		}
--- a/placer/state.go
+++ b/placer/state.go
@@ -18,7 +18,6 @@
 	fullMemory    float64
 	busyAfter     float64 // of its cores, beyond what the ask bears; scratch of the filter
 	reserve       bool
-	use           average // cores in use over cores asked
 	strikes       int
 	struckAt      float64
 	avoidUntil    float64
@@ -245,10 +244,3 @@
 	}
 	p.out = append(p.out, Action{Kind: Wake, Token: p.nextWake, After: max(after, 0)})
 }
-
-// tally counts cores of own bound tasks.
-func (p *Placer) tally(t *ask, cores float64) {
-	if t.Class >= 0 && t.Class < len(p.classes) {
-		p.classes[t.Class] += cores
-	}
-}
