--- a/placer/placer.go
+++ b/placer/placer.go
@@ -33,7 +33,6 @@
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	leaveFor    = 2.5  // windows to avoid a machine that sends tasks away: lists tell seconds late
 	keptOwn     = 4    // own programs that a machine is taken to keep after their last task
-	largeAsk    = 4.0  // times the cores of another ask make a task large: room is saved for it
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -65,8 +64,6 @@
 	useCores  average   // use over ask, all machines
 	useMemory average
 	shortAim  float64
-	saver     *ask     // a large task that waits for room
-	saved     *machine // and the machine that is kept for it
 
 	listAsked, listHeard float64
 	listFails            int
@@ -255,7 +252,7 @@
 		if ok {
 			sound++
 		}
-		if p.fits(t, m) && !p.isSaved(t, m) {
+		if p.fits(t, m) {
 			p.spare = append(p.spare, m)
 			if ok {
 				p.pool = append(p.pool, m)
@@ -350,12 +347,6 @@
 	}
 }
 
-// isSaved says whether m is kept for a larger task that waits.
-func (p *Placer) isSaved(t *ask, m *machine) bool {
-	s := p.saver
-	return s != nil && s != t && p.saved == m && !s.over && s.Deadline > p.now && t.Cores*largeAsk <= s.Cores
-}
-
 // fits says whether neither list nor report nor a fresh refusal shows m as too full for the ask.
 func (p *Placer) fits(t *ask, m *machine) bool {
 	if m.fullUntil > p.now && t.Cores >= m.fullCores && t.Memory >= m.fullMemory {
@@ -546,35 +537,13 @@
 	}
 	first, second := p.draw(t)
 	if first == nil {
-		p.save(t)
 		p.hold(t, noneWait*wait)
 		return
 	}
-	if p.saver == t {
-		p.saver = nil
-	}
 	t.refusals, t.other = 0, second
 	p.offer(t, first)
 }
 
-// save keeps the roomiest machine free of smaller tasks while a task that fits nowhere waits: small tasks take any
-// room as it comes, and a large one, of whatever class, would starve. One task at a time is saved for.
-func (p *Placer) save(t *ask) {
-	if p.saver != nil && !p.saver.over && p.saver.Deadline > p.now && p.saver.Cores >= t.Cores {
-		return
-	}
-	var best *machine
-	for _, m := range p.machines {
-		if p.legal(t, m) && p.trusted(t, m) && m.cores*p.cfg.BookCores >= t.Cores &&
-			(best == nil || p.freeAfter(t, m) > p.freeAfter(t, best)) {
-			best = m
-		}
-	}
-	if best != nil {
-		p.saver, p.saved = t, best
-	}
-}
-
 func (p *Placer) offer(t *ask, m *machine) {
 	a := &attempt{m: m, t: t, sent: p.now, out: true, fresh: !m.runs(t.Service)}
 	t.attempts = append(t.attempts, a)
