--- a/placer/placer.go
+++ b/placer/placer.go
@@ -33,6 +33,8 @@
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	leaveFor    = 2.5  // windows to avoid a machine that sends tasks away: lists tell seconds late
 	keptOwn     = 4    // own programs that a machine is taken to keep after their last task
+	inAimWait   = 0.5  // of a wait for room while the aim can be met: such a start is worth most
+	lateWait    = 2.0  // and after it, so that late tasks leave new room to those in time
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -537,7 +539,11 @@
 	}
 	first, second := p.draw(t)
 	if first == nil {
-		p.hold(t, noneWait*wait)
+		if p.now < t.arrived+p.cfg.Classes[t.Class].Aim {
+			p.hold(t, noneWait*wait*inAimWait)
+		} else {
+			p.hold(t, noneWait*wait*lateWait)
+		}
 		return
 	}
 	t.refusals, t.other = 0, second
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -781,3 +781,25 @@
 		t.Fatalf("offer to a machine just struck: %+v", acts)
 	}
 }
+
+// Room that frees up while many wait should go to those whose start still earns its full worth.
+func TestLateTasksLookForRoomLessOften(t *testing.T) {
+	nodes := fleet(1)
+	nodes[0].FreeCores = 0
+	p := start(t, config(), 1, nodes)
+	wakes := only(arrive(p, 100.1, task(1, 0)), Wake)
+	w := wakes[len(wakes)-1] // the first is for the deadline
+	early := w.After
+	now, late := 100.1, 0.0
+	for now < 103 {
+		now += w.After
+		again := only(p.Handle(now, Event{Kind: Woken, Token: w.Token}, nil), Wake)
+		if len(again) != 1 {
+			t.Fatalf("at %.2f: %+v", now, again)
+		}
+		w, late = again[0], again[0].After
+	}
+	if early > 0.3 || late < 2*early {
+		t.Fatalf("waits of %.2f s in aim and %.2f s late", early, late)
+	}
+}
