Graded mistrust: the less struck machines come in first

Covers cuts, mass crashes, overload with errors. Might hurt if a dead machine has fewer strikes than a slow one for a moment.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -57,7 +57,6 @@
 	nextWake  uint64
 	pending   int // tasks without an answer
 	pool      []*machine
-	spare     []*machine
 	sorted    []*machine
 	packed    bool
 	packedAt  float64
@@ -243,30 +242,33 @@
 // filter returns the machines that t may be offered to now, in list order: those with room that are trusted,
 // or all with room where these are too few.
 func (p *Placer) filter(t *ask) []*machine {
-	p.pool, p.spare = p.pool[:0], p.spare[:0]
-	allowed, sound := 0, 0
+	var at [maxStrikes + 1]int
+	ready := 0
 	for _, m := range p.machines {
-		if !p.legal(t, m) {
-			continue
-		}
-		allowed++
-		ok := p.trusted(t, m)
-		if ok {
-			sound++
-		}
-		if p.fits(t, m) {
-			p.spare = append(p.spare, m)
-			if ok {
-				p.pool = append(p.pool, m)
+		if m.State == Ready {
+			m.level = m.strikes
+			if p.trusted(t, m) {
+				m.level = 0
 			}
+			at[m.level]++
+			ready++
 		}
 	}
 	// Mistrust must not leave so few machines that these drown: a cause common to many is no machine's fault.
-	// Room does not count here: a dead machine shows the room of the tasks it lost and would draw all
-	// offers, and
-	// use up all attempts, as soon as the sound ones are full.
-	if sound*fewTrusted < allowed {
-		p.pool = append(p.pool[:0], p.spare...)
+	// The less struck come in first: those that are merely slow, not those that are dead. Neither room nor
+	// spread counts here: a dead machine shows the room of the tasks it lost, and those that a
+	// service may still use
+	// can all be dead; they would draw all offers and use up all attempts in a moment.
+	level, sound := 0, at[0]
+	for sound*fewTrusted < ready && level < maxStrikes {
+		level++
+		sound += at[level]
+	}
+	p.pool = p.pool[:0]
+	for _, m := range p.machines {
+		if m.State == Ready && m.level <= level && p.legal(t, m) && p.fits(t, m) {
+			p.pool = append(p.pool, m)
+		}
 	}
 	// Machines held in reserve are passed over while others have room.
 	p.pack()
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -803,3 +803,37 @@
 		t.Fatalf("waits of %.2f s in aim and %.2f s late", early, late)
 	}
 }
+
+// When a rack dies, spread can leave only dead machines to a service; its tasks wait for sound ones.
+func TestSpreadDoesNotSendTasksToDeadMachines(t *testing.T) {
+	p := start(t, config(), 1, fleet(6)) // racks of three
+	for i := range 3 {
+		p.Handle(100, Event{Kind: Running, Node: 1, Task: Task{ID: TaskID(900 + i), Class: 2, Service: 5}}, nil)
+	}
+	for id := NodeID(4); id <= 6; id++ {
+		p.now = 100
+		p.strike(p.byID[id])
+	}
+	k := task(1, 2)
+	k.Service = 5
+	if acts := arrive(p, 100.1, k); len(only(acts, Offer)) != 0 {
+		t.Fatalf("offer to a machine just struck: %+v", acts)
+	}
+}
+
+// After a zone died the rest is slow and struck too; taking all back in at once would revive the dead.
+func TestLessStruckMachinesComeInFirst(t *testing.T) {
+	p := start(t, config(), 1, fleet(8))
+	for id := NodeID(1); id <= 8; id++ {
+		p.byID[id].strikes, p.byID[id].avoidUntil = 4, 200
+	}
+	p.byID[2].strikes, p.byID[5].strikes, p.byID[7].strikes = 1, 1, 1
+	for i := range 40 {
+		o := offered(t, arrive(p, 100.1, task(i+1, 0)))
+		if p.byID[o.Node].strikes != 1 {
+			t.Fatalf("offer to machine %d with %d strikes", o.Node, p.byID[o.Node].strikes)
+		}
+		bind(p, 100.1, o)
+		end(p, 100.1, o, Finished, NoReason)
+	}
+}
--- a/placer/state.go
+++ b/placer/state.go
@@ -18,6 +18,7 @@
 	fullMemory    float64
 	busyAfter     float64 // of its cores, beyond what the ask bears; scratch of the filter
 	reserve       bool
+	level         int // of mistrust, for the ask at hand; scratch of the filter
 	strikes       int
 	struckAt      float64
 	avoidUntil    float64
