--- a/placer/placer.go
+++ b/placer/placer.go
@@ -274,11 +274,7 @@
 	p.pack()
 	p.pool = prefer(p.pool, func(m *machine) bool { return !m.reserve })
 	// Cores in use beyond what the class bears spoil the service of all that run there.
-	calm := func(m *machine) bool { return m.busyAfter <= 0 }
-	if p.late(t) && !slices.ContainsFunc(p.pool, calm) {
-		return nil // a start in time is worth some crowding, a late one is not
-	}
-	return prefer(p.pool, calm)
+	return prefer(p.pool, func(m *machine) bool { return m.busyAfter <= 0 })
 }
 
 // pack holds machines in reserve where machines in use have a price and the list shows that fewer would do.
@@ -355,9 +351,6 @@
 	}
 }
 
-// late says whether a start can no longer be in time, so that it earns its service only.
-func (p *Placer) late(t *ask) bool { return p.now >= t.arrived+p.cfg.Classes[t.Class].Aim }
-
 // fits says whether neither list nor report nor a fresh refusal shows m as too full for the ask.
 func (p *Placer) fits(t *ask, m *machine) bool {
 	if m.fullUntil > p.now && t.Cores >= m.fullCores && t.Memory >= m.fullMemory {
@@ -548,10 +541,10 @@
 	}
 	first, second := p.draw(t)
 	if first == nil {
-		if p.late(t) {
-			p.hold(t, noneWait*wait*lateWait)
-		} else {
+		if p.now < t.arrived+p.cfg.Classes[t.Class].Aim {
 			p.hold(t, noneWait*wait*inAimWait)
+		} else {
+			p.hold(t, noneWait*wait*lateWait)
 		}
 		return
 	}
