Memory limit only where machines report use

Covers every deployment whose machines book no more memory than they have; hurts where tasks use more than asked.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -385,7 +385,7 @@
 	}
 	k := &p.cfg.Classes[t.Class]
 	m.busyAfter = (uc+t.Cores*p.useCores.mean)/m.cores - (k.CalmUpTo + k.FadesOver*fadeBorne)
-	return um+t.Memory*p.useMemory.mean <= memoryTight*m.memory
+	return !p.cfg.ReportsUse || um+t.Memory*p.useMemory.mean <= memoryTight*m.memory
 }
 
 // learnUse keeps how much of what is asked is used, over all machines heard from.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -837,3 +837,11 @@
 		end(p, 100.1, o, Finished, NoReason)
 	}
 }
+
+// Where machines report asks, not use, what they accept bounds memory; a limit of our own only leaves room unused.
+func TestMemoryLimitNeedsReportsOfUse(t *testing.T) {
+	nodes := fleet(1)
+	nodes[0].FreeMemory = 2
+	p := start(t, config(), 1, nodes)
+	offered(t, arrive(p, 100.1, task(1, 0)))
+}
