Own zone first where crossing zones has a price

Condition: a price above 0, and own machines with room, open and not crowded. Hurts when traffic is uneven between zones: own machines fill before the others are used.

--- a/internal/simhost/settings.go
+++ b/internal/simhost/settings.go
@@ -57,6 +57,7 @@
 		RetryAfter      bool    `json:"retryAfter"`
 	} `json:"permissions"`
 	Tariffs struct {
+		Cross float64 `json:"crossZone"`
 		Fleet float64 `json:"fleet"`
 		Moves float64 `json:"moves"`
 	} `json:"tariffs"`
@@ -94,7 +95,7 @@
 		AnswerSlack: r.AnswerSlackS, DrainGrace: r.DrainGraceS, ColdFrom: r.ColdFrom, WarmWithin: r.WarmWithinS,
 		FallMultiple: r.OverloadFactor, FallWindow: r.FallS, ColdAlways: x.YoungLimit,
 		MustAsk: s.Discovery == "ask", AskWithin: r.AskWithinS, MayDelayOwners: p.RetryAfter,
-		MaxDelay: p.MaxRetryAfterS, SettleAfter: x.CheckAfterS, OverShareWorth: s.OverShareWorth, FleetPrice: s.Tariffs.Fleet, MovePrice: s.Tariffs.Moves,
+		MaxDelay: p.MaxRetryAfterS, SettleAfter: x.CheckAfterS, OverShareWorth: s.OverShareWorth, FleetPrice: s.Tariffs.Fleet, CrossPrice: s.Tariffs.Cross, MovePrice: s.Tariffs.Moves,
 	}
 	for i, l := range s.Lanes {
 		k := placer.Class{
--- a/placer/api.go
+++ b/placer/api.go
@@ -94,6 +94,7 @@
 	MaxDelay       float64 // and follow it up to this
 	SettleAfter    float64 // how long owners of doubtful tasks wait
 	FleetPrice     float64 // of machines that hold a task beyond those needed, as a part of all
+	CrossPrice     float64 // of tasks that run outside this scheduler's zone, as a part of all
 	MovePrice      float64 // of one move for each task
 	OverShareWorth float64 // worth of a task beyond its tenant's share
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -274,7 +274,12 @@
 	p.pack()
 	p.pool = prefer(p.pool, func(m *machine) bool { return !m.reserve })
 	// Cores in use beyond what the class bears spoil the service of all that run there.
-	return prefer(p.pool, func(m *machine) bool { return m.busyAfter <= 0 })
+	p.pool = prefer(p.pool, func(m *machine) bool { return m.busyAfter <= 0 })
+	if !(p.cfg.CrossPrice > 0) {
+		return p.pool
+	}
+	// Tasks in another zone have a price where the configuration says so: own machines first, while they have room.
+	return prefer(p.pool, func(m *machine) bool { return m.Node.Zone == p.cfg.Zone })
 }
 
 // pack holds machines in reserve where machines in use have a price and the list shows that fewer would do.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -845,3 +845,25 @@
 	p := start(t, config(), 1, nodes)
 	offered(t, arrive(p, 100.1, task(1, 0)))
 }
+
+func TestOwnZoneFirstWhereCrossingHasAPrice(t *testing.T) {
+	c := config()
+	for _, price := range []float64{0, 0.1} {
+		c.CrossPrice = price
+		other := 0
+		for s := range 60 {
+			p := start(t, c, uint64(s), fleet(6))
+			if o := offered(t, arrive(p, 100.1, task(1, 0))); p.byID[o.Node].Node.Zone != 0 {
+				other++
+			}
+		}
+		if (price > 0) != (other == 0) {
+			t.Fatalf("price %v: %d of 60 offers left the zone", price, other)
+		}
+	}
+	nodes := fleet(6)
+	for i := 0; i < 6; i += 2 {
+		nodes[i].FreeCores = 0
+	}
+	offered(t, arrive(start(t, c, 1, nodes), 100.1, task(1, 0))) // own machines are full: the others serve
+}
