--- a/placer/placer.go
+++ b/placer/placer.go
@@ -278,7 +278,7 @@
 	if !(p.cfg.CrossPrice > 0) {
 		return p.pool
 	}
-	// Tasks in another zone have a price where the configuration says so: own machines first, while they have room.
+	// Tasks in another zone have a price here: own machines first, while they have room.
 	return prefer(p.pool, func(m *machine) bool { return m.Node.Zone == p.cfg.Zone })
 }
 
