--- a/placer/placer.go
+++ b/placer/placer.go
@@ -689,7 +689,10 @@
 	switch ev.Result {
 	case Refused:
 		switch ev.Reason {
-		case NoCores, NoMemory, TooManyWait, NoReason:
+		case NoReason:
+			// The list shows room and the machine says nothing: something else is wrong with it.
+			p.strike(m)
+		case NoCores, NoMemory, TooManyWait:
 			m.fullUntil, m.fullCores, m.fullMemory = p.now+wait, a.t.Cores, a.t.Memory
 			if ev.Reason == NoCores {
 				m.fullMemory = 0
