--- a/placer/placer.go
+++ b/placer/placer.go
@@ -60,6 +60,7 @@
 	sorted    []*machine
 	packed    bool
 	packedAt  float64
+	heldAt    float64   // when a task was last held back
 	answers   []average // time to an answer, per class
 	fresh     []average // time to a start on a machine that held no own task of the service, per class
 	useCores  average   // use over ask, all machines
@@ -334,10 +335,11 @@
 }
 
 // tidy moves the last own tasks off a machine that has been in reserve for long: they would keep it in use
-// until the longest of them ends. It acts only in quiet: nothing waits, and this machine is nearly empty.
+// until the longest of them ends. It acts only in quiet: no task was held back of late, and the machine is
+// nearly empty. Tasks that merely start do not count: where a bind is told at the start, some always do.
 func (p *Placer) tidy() {
 	p.pack()
-	if p.cfg.FleetPrice <= p.cfg.MovePrice || p.pending > 0 {
+	if p.cfg.FleetPrice <= p.cfg.MovePrice || p.now-p.heldAt < window {
 		return
 	}
 	for _, m := range p.sorted {
@@ -595,7 +597,7 @@
 			return
 		}
 	}
-	t.other = nil
+	t.other, p.heldAt = nil, p.now
 	p.wakeIn(t, wakeRedraw, after)
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -867,3 +867,26 @@
 	}
 	offered(t, arrive(start(t, c, 1, nodes), 100.1, task(1, 0))) // own machines are full: the others serve
 }
+
+// Where a bind is told at the start some task is always starting; that must not keep the last tasks on a reserve.
+func TestTidyingGoesOnWhileTasksStart(t *testing.T) {
+	c := config()
+	c.FleetPrice, c.MovePrice = 0.2, 0.05
+	p := start(t, c, 1, fleet(6))
+	p.Handle(100, Event{Kind: Running, Node: 1, Task: Task{ID: 900, Service: 5, Cores: 1, Memory: 1}}, nil)
+	k := task(1, 0)
+	k.Deadline = 110
+	offered(t, arrive(p, 100.1, k))
+	for _, at := range []float64{101, 103.5, 104} {
+		p.now, p.out = at, nil
+		p.tidy()
+	}
+	if len(only(p.out, Move)) == 0 && !p.tasks[900].moved {
+		t.Fatal("no move while a task starts")
+	}
+	p.tasks[900].moved, p.heldAt, p.out = false, 104, nil
+	p.tidy()
+	if len(p.out) != 0 {
+		t.Fatal("moved just after a task was held back")
+	}
+}
