--- a/placer/placer.go
+++ b/placer/placer.go
@@ -407,13 +407,7 @@
 		p.useCores.add((m.cores-r)/(m.cores-c), learn/2)
 	}
 	if r := m.report.FreeMemory; p.cfg.ReportsUse && !math.IsNaN(r) {
-		// Young tasks use less memory than they will: the ratio follows a fall slowly, or a wave of restarts
-		// would make room that the same tasks take back seconds later, by evictions.
-		x, w := (m.memory-r)/(m.memory-mem), learn/2
-		if x < p.useMemory.mean {
-			w = learn / 4
-		}
-		p.useMemory.add(x, w)
+		p.useMemory.add((m.memory-r)/(m.memory-mem), learn/2)
 	}
 }
 
