--- a/internal/simhost/host_test.go
+++ b/internal/simhost/host_test.go
@@ -133,3 +133,13 @@
 		t.Fatalf("%+v", r)
 	}
 }
+
+func TestAPanicBecomesTheWiresWordForIt(t *testing.T) {
+	h := &host{instances: map[uint32]*instance{}}
+	h.w.Start(1)
+	h.decide(10, 4, &instance{}, placer.Event{Kind: placer.Arrived}) // no placer: the call panics
+	out := string(h.w.Finish())
+	if out[12] != 90 || !strings.Contains(out, "panic") {
+		t.Fatalf("%x", out)
+	}
+}
