--- a/placer/placer.go
+++ b/placer/placer.go
@@ -541,7 +541,7 @@
 	}
 	if o := t.other; o != nil {
 		t.other = nil
-		if o.strikes == 0 && p.legal(t, o) && p.fits(t, o) { // it may have failed since the draw
+		if p.legal(t, o) && p.fits(t, o) {
 			p.offer(t, o)
 			return
 		}
