Services that come to any scheduler: draw among the few machines that the service's number picks

Cause: at 300 schedulers none sees where the others started a service, so nearly every start was a fresh one, six to eleven times the work. Also covers restarted schedulers, who know of no own tasks. May hurt where a service is far larger than what its few machines bear: then those without room fall out and the next ones step in.

--- a/internal/simhost/settings.go
+++ b/internal/simhost/settings.go
@@ -13,6 +13,7 @@
 	Extra     struct {
 		AdmitMemory float64   `json:"admitMemory"`
 		ApartBy     []string  `json:"apartBy"`
+		Bound       bool      `json:"bound"`
 		ClassKind   []int     `json:"classKind"`
 		CoresByKind []float64 `json:"coresByKind"`
 		Counts      string    `json:"counts"`
@@ -90,7 +91,7 @@
 	c := placer.Config{
 		Self: s.Me, Peers: s.PeersTotal, Zone: s.MyZone,
 		BookCores: x.CPUBooking, BookMemory: x.AdmitMemory, AnswersWhenRunning: x.SaysYes == "running",
-		ListShowsRoom: x.FreeInList, ReportsUse: x.Counts == "used", PushesOut: x.PushesOut,
+		ListShowsRoom: x.FreeInList, ReportsUse: x.Counts == "used", PushesOut: x.PushesOut, ServicesStay: x.Bound,
 		MaxAttempts: p.MostTries, TwoAtOnce: p.MayDuplicate, ConnectWithin: p.ConnectTimeoutS,
 		AnswerSlack: r.AnswerSlackS, DrainGrace: r.DrainGraceS, ColdFrom: r.ColdFrom, WarmWithin: r.WarmWithinS,
 		FallMultiple: r.OverloadFactor, FallWindow: r.FallS, ColdAlways: x.YoungLimit,
--- a/placer/api.go
+++ b/placer/api.go
@@ -76,6 +76,7 @@
 	AnswersWhenRunning    bool    // a bind is told when the task runs, not when it was accepted
 	ListShowsRoom         bool    // list entries carry room that nobody asked for
 	ReportsUse            bool    // reports count use, not asks
+	ServicesStay          bool    // the tasks of a service come to one scheduler while it is up
 	PushesOut             bool    // machines push out lower priorities
 
 	MaxAttempts    int
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,6 +32,7 @@
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	leaveFor    = 2.5  // windows to avoid a machine that sends tasks away: lists tell seconds late
+	homes       = 4    // machines that a service's number picks where its tasks come to many schedulers
 	keptOwn     = 4    // own programs that a machine is taken to keep after their last task
 	inAimWait   = 0.5  // of a wait for room while the aim can be met: such a start is worth most
 	lateWait    = 2.0  // and after it, so that late tasks leave new room to those in time
@@ -432,15 +433,29 @@
 
 // ---- draw ----
 
-// draw picks two machines uniformly and puts the emptier first. Crowded ones are passed over.
+// draw picks two machines uniformly and puts the emptier first. Crowded ones are passed over. Where fresh
+// starts are slow it draws among the machines that are likely to have the program first.
 func (p *Placer) draw(t *ask) (first, second *machine) {
 	set := p.filter(t)
+	t.fresh = !p.slowFresh(t)
+	if !t.fresh {
+		if likely := p.likely(t, set); len(likely) > 0 {
+			if first, second = p.pair(t, likely); p.contenders(first) <= p.limit(len(likely)) {
+				return first, second
+			}
+		}
+		t.fresh = true
+	}
+	return p.pair(t, set)
+}
+
+// pair draws two of the set at random, again while both are crowded. If every pair was crowded the last
+// stands, less crowded first: holding the task back helps nobody.
+func (p *Placer) pair(t *ask, set []*machine) (a, b *machine) {
 	if len(set) == 0 {
 		return nil, nil
 	}
 	k := p.limit(len(set))
-	holders := p.slowFresh(t) && p.anyHolds(t, set)
-	var a, b *machine
 	for range redraws {
 		i := p.rng.IntN(len(set))
 		a, b = set[i], nil
@@ -451,8 +466,8 @@
 			}
 			b = set[j]
 		}
-		aIn := p.contenders(a) <= k && (!holders || a.runs(t.Service))
-		bIn := b != nil && p.contenders(b) <= k && (!holders || b.runs(t.Service))
+		aIn := p.contenders(a) <= k
+		bIn := b != nil && p.contenders(b) <= k
 		switch {
 		case aIn && bIn:
 			return p.emptier(t, a, b)
@@ -462,8 +477,6 @@
 			return b, nil
 		}
 	}
-	// Every pair was crowded: holding the task back helps nobody, so the last pair stands, less crowded
-	// first.
 	if b != nil && p.contenders(b) < p.contenders(a) {
 		a, b = b, a
 	}
@@ -471,20 +484,44 @@
 }
 
 // slowFresh says whether a start on a machine without the service's program is likely to miss the aim, as far
-// as seen. Bins are then not equal, as the paper has them: a pair that holds no such machine is passed over
-// like a crowded one. What is drawn stays uniform over all that passed.
+// as seen. Bins are then not equal, as the paper has them: those without the program are passed over like
+// crowded ones. What is drawn stays uniform over all that passed.
 func (p *Placer) slowFresh(t *ask) bool {
 	f := &p.fresh[t.Class]
 	return !f.seen || f.mean+f.dev > p.cfg.Classes[t.Class].Aim/2
 }
 
-func (p *Placer) anyHolds(t *ask, set []*machine) bool {
-	for _, m := range set {
+// likely moves the machines that are likely to have the service's program to the front of the set and returns
+// them: those that run own tasks of it, and where its tasks come to many schedulers, none of which sees where
+// the others placed theirs, the few that the service's number picks, the same for all without a word.
+func (p *Placer) likely(t *ask, set []*machine) []*machine {
+	n := 0
+	for i, m := range set {
 		if m.runs(t.Service) {
-			return true
+			set[n], set[i] = m, set[n]
+			n++
 		}
 	}
-	return false
+	if p.cfg.ServicesStay || p.cfg.Peers < 2 {
+		return set[:n]
+	}
+	for _, m := range set {
+		m.pull = m.cores / -math.Log(chance(uint64(t.Service), uint64(m.ID)))
+	}
+	for range homes {
+		best := -1
+		for i := n; i < len(set); i++ {
+			if best < 0 || set[i].pull > set[best].pull {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		set[n], set[best] = set[best], set[n]
+		n++
+	}
+	return set[:n]
 }
 
 // limit is k of the design: c times the pending tasks per machine that passed, at least 1. Pending are tasks
@@ -531,11 +568,7 @@
 
 // place takes the next step for a task that has no offer out: the other of the pair, a fresh pair, or a wait.
 func (p *Placer) place(t *ask) {
-	if len(t.attempts) >= p.cfg.MaxAttempts || !p.mayRetry(t) {
-		p.answer(t)
-		return
-	}
-	if t.Deadline-p.now <= p.cfg.AnswerSlack {
+	if len(t.attempts) >= p.cfg.MaxAttempts || !p.mayRetry(t) || t.Deadline-p.now <= p.cfg.AnswerSlack {
 		p.answer(t)
 		return
 	}
@@ -548,11 +581,11 @@
 	}
 	first, second := p.draw(t)
 	if first == nil {
+		about := noneWait * wait * lateWait
 		if p.now < t.arrived+p.cfg.Classes[t.Class].Aim {
-			p.hold(t, noneWait*wait*inAimWait)
-		} else {
-			p.hold(t, noneWait*wait*lateWait)
+			about = noneWait * wait * inAimWait
 		}
+		p.hold(t, about)
 		return
 	}
 	t.refusals, t.other = 0, second
@@ -560,7 +593,7 @@
 }
 
 func (p *Placer) offer(t *ask, m *machine) {
-	a := &attempt{m: m, t: t, sent: p.now, out: true, fresh: !m.runs(t.Service)}
+	a := &attempt{m: m, t: t, sent: p.now, out: true, fresh: t.fresh && !m.runs(t.Service)}
 	t.attempts = append(t.attempts, a)
 	m.open++
 	m.pending = append(m.pending, delta{at: p.now, cores: t.Cores, memory: t.Memory})
@@ -589,13 +622,10 @@
 
 // hold waits about so long and then draws afresh; too near the deadline it answers instead.
 func (p *Placer) hold(t *ask, about float64) {
-	after := p.jittered(about)
-	if p.now+after >= t.Deadline-p.cfg.AnswerSlack {
-		after = t.Deadline - p.cfg.AnswerSlack - p.now
-		if after <= 0 {
-			p.answer(t)
-			return
-		}
+	after := min(p.jittered(about), t.Deadline-p.cfg.AnswerSlack-p.now)
+	if after <= 0 {
+		p.answer(t)
+		return
 	}
 	t.other, p.heldAt = nil, p.now
 	p.wakeIn(t, wakeRedraw, after)
@@ -764,10 +794,8 @@
 	if !m.known || m.State != Ready || m.cores <= 0 {
 		return false
 	}
-	if c.NodeKind >= 0 && c.NodeKind != m.Kind {
-		return false
-	}
-	if t.doubt != nil && !(p.mayRetry(t) && (c.Effect == Repeatable || together(c.Group, t.doubt.m, m))) {
+	if c.NodeKind >= 0 && c.NodeKind != m.Kind ||
+		t.doubt != nil && !(p.mayRetry(t) && (c.Effect == Repeatable || together(c.Group, t.doubt.m, m))) {
 		return false
 	}
 	return p.coldAllows(m) && p.spreadAllows(t, m)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -24,7 +24,7 @@
 		Kinds:     []Kind{{16, 32}, {32, 64}},
 		BookCores: 1, BookMemory: 1, ListShowsRoom: true, MaxAttempts: 4, ConnectWithin: 0.25, AnswerSlack: 0.01,
 		DrainGrace: 1, ColdFrom: 0.2, WarmWithin: 10, FallMultiple: 2, FallWindow: 2, ColdAlways: 8, AskWithin: 10,
-		SettleAfter: 3,
+		SettleAfter: 3, ServicesStay: true,
 	}
 }
 
@@ -890,3 +890,21 @@
 		t.Fatal("moved just after a task was held back")
 	}
 }
+
+// Where the tasks of a service come to many schedulers, each sees few of them: their choice must agree without
+// a word, or every start is a fresh one.
+func TestSchedulersAgreeWhereAServiceRuns(t *testing.T) {
+	c := config()
+	c.Peers, c.ServicesStay = 300, false
+	used := map[NodeID]bool{}
+	for self := range 200 {
+		c.Self = self
+		p := start(t, c, uint64(self), fleet(90))
+		k := task(self+1, 0)
+		k.Service = 7
+		used[offered(t, arrive(p, 100.1, k)).Node] = true
+	}
+	if len(used) > homes {
+		t.Errorf("tasks of one service came to %d machines, at most %d wanted", len(used), homes)
+	}
+}
--- a/placer/state.go
+++ b/placer/state.go
@@ -17,6 +17,7 @@
 	fullCores     float64 // for asks at least this big
 	fullMemory    float64
 	busyAfter     float64 // of its cores, beyond what the ask bears; scratch of the filter
+	pull          float64 // of the service at hand; scratch of the draw
 	reserve       bool
 	level         int // of mistrust, for the ask at hand; scratch of the filter
 	strikes       int
@@ -77,6 +78,7 @@
 	over     bool     // answered or ended
 	placed   bool
 	moved    bool
+	fresh    bool     // drawn without regard to where the program is
 	doubt    *attempt // the first attempt that may have run and was not bound
 	wake     uint64
 	arrived  float64
@@ -245,3 +247,14 @@
 	}
 	p.out = append(p.out, Action{Kind: Wake, Token: p.nextWake, After: max(after, 0)})
 }
+
+// chance is a fixed number between 0 and 1, both left out, for a pair of numbers.
+func chance(a, b uint64) float64 {
+	x := a*0x9e3779b97f4a7c15 + b
+	for range 2 {
+		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+		x = (x ^ x>>27) * 0x94d049bb133111eb
+		x ^= x >> 31
+	}
+	return (float64(x>>12) + 0.5) / (1 << 52)
+}
