Cold machines: the safe offers are parted by machine instead of turns by the clock

Turns let few peers send to all cold machines at once while the rest waited, and used half of the budget. Now each machine has its own peers and parts add up to exactly what it always bears, without a clock in common. A test counts the sum over 300 schedulers with restarts among them.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -819,11 +819,10 @@
 	return m.Since > 0 && p.now-m.Since < p.cfg.WarmWithin
 }
 
-// coldAllows keeps this scheduler within its part of the offers that a cold machine always bears. Parts of
-// all peers add up to no more than that, however uneven the traffic. Where there are more peers than offers,
-// turns are taken by the clock: one offer in an own turn, and a window touches at most two turns. A scheduler
-// that has just started does not know what it sent before, so it sends nothing cold until that is out of the
-// window.
+// coldAllows keeps this scheduler within its part of the offers that a cold machine always bears. Parts of all
+// peers add up to exactly that, however uneven the traffic. What does not divide goes to other peers at each
+// machine, so that each of many has some cold machines open to it. A scheduler that has just started does not
+// know what it sent before: it sends nothing cold until that is out of the window.
 func (p *Placer) coldAllows(m *machine) bool {
 	if !p.cold(m) {
 		return true
@@ -833,13 +832,13 @@
 		return false
 	}
 	m.dropSends(p.now - span)
-	part := math.Floor(p.cfg.ColdAlways / float64(p.cfg.Peers))
-	if part >= 1 {
-		return float64(len(m.coldSends)) < part
+	all, peers := max(p.cfg.ColdAlways, 0), float64(p.cfg.Peers)
+	part := math.Floor(all / peers)
+	place := math.Floor(chance(uint64(m.ID), 0) * peers)
+	if math.Mod(place+float64(p.cfg.Self), peers) < math.Floor(all-part*peers) {
+		part++
 	}
-	turns := math.Ceil(2 * float64(p.cfg.Peers) / max(p.cfg.ColdAlways, 1e-9))
-	mine := math.Mod(math.Floor(p.now/span), turns) == math.Mod(float64(p.cfg.Self), turns)
-	return p.cfg.ColdAlways >= 2 && mine && len(m.coldSends) == 0
+	return float64(len(m.coldSends)) < part
 }
 
 // spreadAllows counts all own attempts and running tasks of the service without an outcome. One on a machine
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -908,3 +908,58 @@
 		t.Errorf("tasks of one service came to %d machines, at most %d wanted", len(used), homes)
 	}
 }
+
+// The sum over all schedulers is what a cold machine must bear: hundreds of them, half of the fleet cold at
+// once, traffic uneven, offers refused, some of the schedulers killed and started anew.
+func TestAllSchedulersTogetherSpareColdMachines(t *testing.T) {
+	c := config()
+	c.Peers, c.ColdAlways, c.WarmWithin, c.ServicesStay, c.BookCores, c.BookMemory = 300, 7, 20, false, 9, 9
+	nodes := fleet(30)
+	for i := range nodes {
+		if i%3 > 0 {
+			nodes[i].Since = 99
+		}
+	}
+	r := rand.New(rand.NewPCG(4, 4))
+	sent, most, cold := map[NodeID][]float64{}, 0, 0
+	peers := make([]*Placer, c.Peers)
+	for now, id := 100.0, 0; now < 112; now += 0.05 {
+		for self := range peers {
+			if peers[self] == nil || r.IntN(2000) == 0 {
+				c.Self = self
+				p, err := New(c, uint64(self+id))
+				if err != nil {
+					t.Fatal(err)
+				}
+				p.Handle(now, Event{Kind: Listed, List: CachedList, Nodes: nodes}, nil)
+				peers[self] = p
+			}
+			if r.IntN(1+self/20) > 0 {
+				continue
+			}
+			id++
+			k := task(id, 0)
+			k.Deadline = now + 1.1
+			acts := arrive(peers[self], now, k)
+			for o := only(acts, Offer); len(o) > 0; o = only(acts, Offer) {
+				n := o[0].Node
+				if nodes[n-1].Since > 0 {
+					cold++
+					list := append(sent[n], now)
+					for now-list[0] > c.FallWindow {
+						list = list[1:]
+					}
+					sent[n] = list
+					most = max(most, len(list))
+				}
+				acts = end(peers[self], now, o[0], Refused, []Reason{NoCores, TooManyWait}[r.IntN(2)])
+			}
+		}
+	}
+	if float64(most) > c.ColdAlways {
+		t.Errorf("%d offers in a window at one cold machine, %v are borne", most, c.ColdAlways)
+	}
+	if least := 20 * 12 / c.FallWindow * c.ColdAlways / 4; float64(cold) < least {
+		t.Errorf("%d offers at cold machines in all, at least %v wanted: the budget lies idle", cold, least)
+	}
+}
