--- a/placer/placer.go
+++ b/placer/placer.go
@@ -492,8 +492,8 @@
 }
 
 // likely moves the machines that are likely to have the service's program to the front of the set and returns
-// them: those that run own tasks of it, and where its tasks come to many schedulers, none of which sees where
-// the others placed theirs, the few that the service's number picks, the same for all without a word.
+// them: those that run own tasks of it, and where its tasks come to more schedulers than it needs machines,
+// so that each sees too few of them, those that the service's number picks, the same for all without a word.
 func (p *Placer) likely(t *ask, set []*machine) []*machine {
 	n := 0
 	for i, m := range set {
@@ -502,7 +502,7 @@
 			n++
 		}
 	}
-	if p.cfg.ServicesStay || p.cfg.Peers < 2 {
+	if p.cfg.ServicesStay || p.cfg.Peers <= homes {
 		return set[:n]
 	}
 	for _, m := range set {
@@ -819,8 +819,8 @@
 	return m.Since > 0 && p.now-m.Since < p.cfg.WarmWithin
 }
 
-// coldAllows keeps this scheduler within its part of the offers that a cold machine always bears. Parts of all
-// peers add up to exactly that, however uneven the traffic. What does not divide goes to other peers at each
+// coldAllows keeps this scheduler within its part of the offers that a cold machine always bears. All parts
+// add up to exactly that, however uneven the traffic. What does not divide goes to other peers at each
 // machine, so that each of many has some cold machines open to it. A scheduler that has just started does not
 // know what it sent before: it sends nothing cold until that is out of the window.
 func (p *Placer) coldAllows(m *machine) bool {
