--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,7 +32,7 @@
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	leaveFor    = 2.5  // windows to avoid a machine that sends tasks away: lists tell seconds late
-	homes       = 3    // machines that a service's number picks where its tasks come to many schedulers
+	homes       = 2    // machines, drawn uniformly by a service's number, where its tasks come to many schedulers
 	keptOwn     = 4    // own programs that a machine is taken to keep after their last task
 	inAimWait   = 0.5  // of a wait for room while the aim can be met: such a start is worth most
 	lateWait    = 2.0  // and after it, so that late tasks leave new room to those in time
@@ -506,7 +506,7 @@
 		return set[:n]
 	}
 	for _, m := range set {
-		m.pull = m.cores / -math.Log(chance(uint64(t.Service), uint64(m.ID)))
+		m.pull = chance(uint64(t.Service), uint64(m.ID))
 	}
 	for range homes {
 		best := -1
