--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,7 +32,7 @@
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	leaveFor    = 2.5  // windows to avoid a machine that sends tasks away: lists tell seconds late
-	homes       = 2    // machines, drawn uniformly by a service's number, where its tasks come to many schedulers
+	homes       = 2    // machines drawn by a service's number, where its tasks come to many schedulers
 	keptOwn     = 4    // own programs that a machine is taken to keep after their last task
 	inAimWait   = 0.5  // of a wait for room while the aim can be met: such a start is worth most
 	lateWait    = 2.0  // and after it, so that late tasks leave new room to those in time
@@ -364,7 +364,7 @@
 	if m.fullUntil > p.now && t.Cores >= m.fullCores && t.Memory >= m.fullMemory {
 		return false
 	}
-	c, mem, heard := p.room(m)
+	c, mem, heard := p.roomNow(m)
 	if !heard {
 		return true
 	}
@@ -412,22 +412,26 @@
 	}
 }
 
-// room returns cores and memory of m that nobody asked for, own changes that the list cannot show yet
-// included.
+// room returns cores and memory of m that nobody asked for as the list has it, the same for all schedulers, own
+// changes that it cannot show yet included.
 func (p *Placer) room(m *machine) (cores, memory float64, heard bool) {
-	m.dropBefore(p.now - window)
 	switch {
 	case p.cfg.ListShowsRoom && m.known:
-		cores, memory = m.FreeCores, m.FreeMemory
+		cores, memory = m.booked(p.now-window, m.FreeCores, m.FreeMemory)
 	case m.reported && !p.cfg.ReportsUse && p.now-m.reportAt < staleReport*window:
-		cores, memory = m.report.FreeCores, m.report.FreeMemory
+		cores, memory = m.booked(p.now-window, m.report.FreeCores, m.report.FreeMemory)
 	default:
 		return m.cores / 2, m.memory / 2, false
 	}
-	for _, d := range m.pending {
-		cores -= d.cores
-		memory -= d.memory
+	return cores, memory, true
+}
+
+// roomNow is room with a fresh report in place of the list, which is seconds late.
+func (p *Placer) roomNow(m *machine) (cores, memory float64, heard bool) {
+	if p.cfg.ReportsUse || !m.reported || p.now-m.reportAt > window {
+		return p.room(m)
 	}
+	cores, memory = m.booked(m.reportAt-window/2, m.report.FreeCores, m.report.FreeMemory)
 	return cores, memory, true
 }
 
@@ -502,7 +506,7 @@
 			n++
 		}
 	}
-	if p.cfg.ServicesStay || p.cfg.Peers <= homes {
+	if p.cfg.ServicesStay || p.cfg.Peers <= 2*homes {
 		return set[:n]
 	}
 	for _, m := range set {
@@ -560,7 +564,7 @@
 
 // freeAfter is the smaller of the free shares of cores and memory once the ask is on m.
 func (p *Placer) freeAfter(t *ask, m *machine) float64 {
-	c, mem, _ := p.room(m)
+	c, mem, _ := p.roomNow(m)
 	return min((c-t.Cores)/max(m.cores, 1e-9), (mem-t.Memory)/max(m.memory, 1e-9))
 }
 
