--- a/placer/placer.go
+++ b/placer/placer.go
@@ -364,7 +364,7 @@
 	if m.fullUntil > p.now && t.Cores >= m.fullCores && t.Memory >= m.fullMemory {
 		return false
 	}
-	c, mem, heard := p.roomNow(m)
+	c, mem, heard := p.room(m)
 	if !heard {
 		return true
 	}
@@ -412,26 +412,22 @@
 	}
 }
 
-// room returns cores and memory of m that nobody asked for as the list has it, the same for all schedulers, own
-// changes that it cannot show yet included.
+// room returns cores and memory of m that nobody asked for, own changes that the list cannot show yet
+// included.
 func (p *Placer) room(m *machine) (cores, memory float64, heard bool) {
+	m.dropBefore(p.now - window)
 	switch {
 	case p.cfg.ListShowsRoom && m.known:
-		cores, memory = m.booked(p.now-window, m.FreeCores, m.FreeMemory)
+		cores, memory = m.FreeCores, m.FreeMemory
 	case m.reported && !p.cfg.ReportsUse && p.now-m.reportAt < staleReport*window:
-		cores, memory = m.booked(p.now-window, m.report.FreeCores, m.report.FreeMemory)
+		cores, memory = m.report.FreeCores, m.report.FreeMemory
 	default:
 		return m.cores / 2, m.memory / 2, false
 	}
-	return cores, memory, true
-}
-
-// roomNow is room with a fresh report in place of the list, which is seconds late.
-func (p *Placer) roomNow(m *machine) (cores, memory float64, heard bool) {
-	if p.cfg.ReportsUse || !m.reported || p.now-m.reportAt > window {
-		return p.room(m)
+	for _, d := range m.pending {
+		cores -= d.cores
+		memory -= d.memory
 	}
-	cores, memory = m.booked(m.reportAt-window/2, m.report.FreeCores, m.report.FreeMemory)
 	return cores, memory, true
 }
 
@@ -564,7 +560,7 @@
 
 // freeAfter is the smaller of the free shares of cores and memory once the ask is on m.
 func (p *Placer) freeAfter(t *ask, m *machine) float64 {
-	c, mem, _ := p.roomNow(m)
+	c, mem, _ := p.room(m)
 	return min((c-t.Cores)/max(m.cores, 1e-9), (mem-t.Memory)/max(m.memory, 1e-9))
 }
 
--- a/placer/state.go
+++ b/placer/state.go
@@ -47,17 +47,6 @@
 	}
 }
 
-// booked takes the own changes since a time off the room.
-func (m *machine) booked(since, cores, memory float64) (float64, float64) {
-	for _, d := range m.pending {
-		if d.at >= since {
-			cores -= d.cores
-			memory -= d.memory
-		}
-	}
-	return cores, memory
-}
-
 // dropSends forgets sends to a cold machine from before the given time.
 func (m *machine) dropSends(at float64) {
 	i := 0
