Notes on own tasks tell use until the first report; grades of mistrust, refused sizes and a fixed avoidance go

Cause: at under one task a second a scheduler has no report for ten seconds and more, took asks for use and kept open what others held in reserve (traced: 0 to 17 of 25 machines in reserve, by scheduler).

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -31,7 +31,6 @@
 	packKeep    = 0.85 // of packTo, under which an open one is closed again
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
-	leaveFor    = 2.5  // windows to avoid a machine that sends tasks away: lists tell seconds late
 	homes       = 2    // machines drawn by a service's number, where its tasks come to many schedulers
 	keptOwn     = 4    // own programs that a machine is taken to keep after their last task
 	inAimWait   = 0.5  // of a wait for room while the aim can be met: such a start is worth most
@@ -133,10 +132,7 @@
 	case Ended:
 		p.ended(ev)
 	case Noted:
-		if t := p.tasks[ev.ID]; t != nil && ev.Use == Runs && ev.Attempt >= 0 &&
-			ev.Attempt < len(t.attempts) && t.attempts[ev.Attempt].fresh {
-			p.fresh[t.Class].add(p.now-t.attempts[ev.Attempt].sent, learn)
-		}
+		p.noted(ev)
 	case Withdrawn:
 		if t := p.tasks[ev.ID]; t != nil {
 			p.close(t)
@@ -244,31 +240,22 @@
 // filter returns the machines that t may be offered to now, in list order: those with room that are trusted,
 // or all with room where these are too few.
 func (p *Placer) filter(t *ask) []*machine {
-	var at [maxStrikes + 1]int
-	ready := 0
+	ready, sound := 0, 0
 	for _, m := range p.machines {
 		if m.State == Ready {
-			m.level = m.strikes
-			if p.trusted(t, m) {
-				m.level = 0
-			}
-			at[m.level]++
 			ready++
+			if m.sound = p.trusted(t, m); m.sound {
+				sound++
+			}
 		}
 	}
 	// Mistrust must not leave so few machines that these drown: a cause common to many is no machine's fault.
-	// The less struck come in first: those that are merely slow, not those that are dead. Neither room nor
-	// spread counts here: a dead machine shows the room of the tasks it lost, and those that a
-	// service may still use
-	// can all be dead; they would draw all offers and use up all attempts in a moment.
-	level, sound := 0, at[0]
-	for sound*fewTrusted < ready && level < maxStrikes {
-		level++
-		sound += at[level]
-	}
+	// Neither room nor spread counts here: a dead machine shows the room of the tasks it lost, and those that
+	// a service may still use can all be dead; they would draw all offers.
+	all := sound*fewTrusted < ready
 	p.pool = p.pool[:0]
 	for _, m := range p.machines {
-		if m.State == Ready && m.level <= level && p.legal(t, m) && p.fits(t, m) {
+		if m.State == Ready && (m.sound || all) && p.legal(t, m) && p.fits(t, m) {
 			p.pool = append(p.pool, m)
 		}
 	}
@@ -361,7 +348,7 @@
 
 // fits says whether neither list nor report nor a fresh refusal shows m as too full for the ask.
 func (p *Placer) fits(t *ask, m *machine) bool {
-	if m.fullUntil > p.now && t.Cores >= m.fullCores && t.Memory >= m.fullMemory {
+	if m.fullUntil > p.now {
 		return false
 	}
 	c, mem, heard := p.room(m)
@@ -396,6 +383,32 @@
 	return !p.cfg.ReportsUse || um+t.Memory*p.useMemory.mean <= memoryTight*m.memory
 }
 
+// noted learns from news of an own task. What it uses of what it asked stands for all tasks until a machine
+// has told: with few tasks a scheduler waits long for that and would take too many machines for needed.
+func (p *Placer) noted(ev Event) {
+	t := p.tasks[ev.ID]
+	if t == nil || ev.Attempt < 0 || ev.Attempt >= len(t.attempts) {
+		return
+	}
+	switch use := &p.useCores; ev.Use {
+	case Runs:
+		if t.attempts[ev.Attempt].fresh {
+			p.fresh[t.Class].add(p.now-t.attempts[ev.Attempt].sent, learn)
+		}
+	case MemoryUsed:
+		use = &p.useMemory
+		fallthrough
+	case CoresUsed:
+		asked := t.Cores
+		if ev.Use == MemoryUsed {
+			asked = t.Memory
+		}
+		if asked > 0 {
+			use.hint(min(ev.Value/asked, 1), learn/2)
+		}
+	}
+}
+
 // learnUse keeps how much of what is asked is used, over all machines heard from.
 func (p *Placer) learnUse(m *machine) {
 	c, mem, heard := p.room(m)
@@ -488,7 +501,7 @@
 // crowded ones. What is drawn stays uniform over all that passed.
 func (p *Placer) slowFresh(t *ask) bool {
 	f := &p.fresh[t.Class]
-	return !f.seen || f.mean+f.dev > p.cfg.Classes[t.Class].Aim/2
+	return f.n == 0 || f.mean+f.dev > p.cfg.Classes[t.Class].Aim/2
 }
 
 // likely moves the machines that are likely to have the service's program to the front of the set and returns
@@ -614,7 +627,7 @@
 	} else if c.Effect == Once {
 		least = 2 * c.Aim
 	}
-	if !seen.seen {
+	if seen.n == 0 {
 		return max(least, c.Deadline/4)
 	}
 	return max(least, seen.mean+4*seen.dev)
@@ -720,38 +733,20 @@
 	m := a.m
 	switch ev.Result {
 	case Refused:
-		switch ev.Reason {
-		case NoCores, NoMemory, TooManyWait, NoReason:
-			m.fullUntil, m.fullCores, m.fullMemory = p.now+wait, a.t.Cores, a.t.Memory
-			if ev.Reason == NoCores {
-				m.fullMemory = 0
-			} else if ev.Reason == NoMemory {
-				m.fullCores = 0
-			} else {
-				m.fullCores, m.fullMemory = 0, 0
-			}
-		}
-		if ev.Reason == NotHere && a.t.doubt == nil && p.cfg.Classes[a.t.Class].Effect != Keyed {
-			p.leaving(m)
+		if ev.Reason != NotHere {
+			m.fullUntil = p.now + wait
+		} else if p.cfg.Classes[a.t.Class].Effect != Keyed {
+			p.strike(m) // it drains, before the list says so; of a keyed task a copy may stand
 		}
 	case Errored, Unreachable, TimedOut:
 		p.strike(m)
 	case Lost:
-		if ev.Reason == NoReason {
+		if ev.Reason == NoReason || ev.Reason == SentAway {
 			p.strike(m)
-		} else if ev.Reason == SentAway {
-			p.leaving(m)
 		}
 	}
 }
 
-// leaving avoids a machine that sends tasks away or takes none before the list says why: it drains, and the
-// room that its tasks leave behind would draw every offer. Covers any machine that empties itself.
-func (p *Placer) leaving(m *machine) {
-	p.strike(m)
-	m.avoidUntil = max(m.avoidUntil, p.now+leaveFor*window)
-}
-
 // strike avoids a machine for a while, twice as long each time. Strikes of one moment count once: a crash
 // that loses twenty tasks is one event.
 func (p *Placer) strike(m *machine) {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -321,7 +321,7 @@
 		t.Fatalf("the machine that runs the service was chosen %d times of 100", hits)
 	}
 	p := start(t, config(), 1, fleet(4))
-	p.fresh[0] = average{mean: 0.1, seen: true} // fresh starts are quick here: no exception
+	p.fresh[0] = average{mean: 0.1, n: 1} // fresh starts are quick here: no exception
 	if p.slowFresh(&ask{}) {
 		t.Fatal("quick fresh starts count as slow")
 	}
@@ -743,7 +743,7 @@
 	p.Handle(100, Event{Kind: Running, Node: 2, Task: Task{ID: 900, Service: 5, Cores: 1, Memory: 1}}, nil)
 	end(p, 100.1, Action{Task: 900}, Lost, SentAway)
 	for i := range 30 {
-		if o := offered(t, arrive(p, 103, Task{ID: TaskID(i + 1), Cores: 1, Memory: 1, Deadline: 108})); o.Node == 2 {
+		if o := offered(t, arrive(p, 100.5, Task{ID: TaskID(i + 1), Cores: 1, Memory: 1, Deadline: 108})); o.Node == 2 {
 			t.Fatal("offer to a machine that sends its tasks away")
 		}
 	}
@@ -821,23 +821,6 @@
 	}
 }
 
-// After a zone died the rest is slow and struck too; taking all back in at once would revive the dead.
-func TestLessStruckMachinesComeInFirst(t *testing.T) {
-	p := start(t, config(), 1, fleet(8))
-	for id := NodeID(1); id <= 8; id++ {
-		p.byID[id].strikes, p.byID[id].avoidUntil = 4, 200
-	}
-	p.byID[2].strikes, p.byID[5].strikes, p.byID[7].strikes = 1, 1, 1
-	for i := range 40 {
-		o := offered(t, arrive(p, 100.1, task(i+1, 0)))
-		if p.byID[o.Node].strikes != 1 {
-			t.Fatalf("offer to machine %d with %d strikes", o.Node, p.byID[o.Node].strikes)
-		}
-		bind(p, 100.1, o)
-		end(p, 100.1, o, Finished, NoReason)
-	}
-}
-
 // Where machines report asks, not use, what they accept bounds memory; a limit of our own only leaves room unused.
 func TestMemoryLimitNeedsReportsOfUse(t *testing.T) {
 	nodes := fleet(1)
@@ -963,3 +946,18 @@
 		t.Errorf("%d offers at cold machines in all, at least %v wanted: the budget lies idle", cold, least)
 	}
 }
+
+// A scheduler that sees few tasks waits long for a report: until then notes on its own tasks tell what asks
+// come to, else it takes twice the machines for needed and keeps open what others close.
+func TestNotesTellUseUntilTheFirstReport(t *testing.T) {
+	p := start(t, config(), 1, fleet(4))
+	for i := range 20 {
+		id := TaskID(900 + i)
+		p.Handle(100, Event{Kind: Running, Node: 2, Task: Task{ID: id, Service: 5, Cores: 2, Memory: 4}}, nil)
+		p.Handle(100, Event{Kind: Noted, ID: id, Use: CoresUsed, Value: 1}, nil)
+		p.Handle(100, Event{Kind: Noted, ID: id, Use: MemoryUsed, Value: 1}, nil)
+	}
+	if c, m := p.useCores.mean, p.useMemory.mean; c > 0.55 || c < 0.5 || m > 0.3 || m < 0.25 {
+		t.Errorf("asks are taken to come to %.2f of cores and %.2f of memory, want 0.5 and 0.25", c, m)
+	}
+}
--- a/placer/state.go
+++ b/placer/state.go
@@ -14,12 +14,10 @@
 	reported      bool
 	coldSends     []float64
 	fullUntil     float64 // a refusal stands until then
-	fullCores     float64 // for asks at least this big
-	fullMemory    float64
 	busyAfter     float64 // of its cores, beyond what the ask bears; scratch of the filter
 	pull          float64 // of the service at hand; scratch of the draw
 	reserve       bool
-	level         int // of mistrust, for the ask at hand; scratch of the filter
+	sound         bool // trusted with the ask at hand; scratch of the filter
 	strikes       int
 	struckAt      float64
 	avoidUntil    float64
@@ -108,23 +106,28 @@
 	wakeTidy
 )
 
-// average is a running mean and deviation.
+// average is a running mean and deviation. Until the first reading hints stand in, the mean that it begins with
+// counting as one of them.
 type average struct {
 	mean, dev float64
-	seen      bool
+	n, hints  int
 }
 
 func (a *average) add(x, weight float64) {
-	if !a.seen {
-		a.mean, a.dev, a.seen = x, x/2, true
+	if a.n++; a.n == 1 {
+		a.mean, a.dev = x, x/2
 		return
 	}
 	d := x - a.mean
 	a.mean += d * weight
-	if d < 0 {
-		d = -d
+	a.dev += (max(d, -d) - a.dev) * weight
+}
+
+func (a *average) hint(x, least float64) {
+	if a.n == 0 {
+		a.hints++
+		a.mean += (x - a.mean) * max(least, 1/float64(a.hints+1))
 	}
-	a.dev += (d - a.dev) * weight
 }
 
 // runs says whether the machine holds or has just held an own task of the service, or is offered one.
