Programs before calm cores where it is agreed where a service runs

Cause: the preference for calm cores took a service's tasks off its machines, so they started afresh elsewhere.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -262,8 +262,9 @@
 	// Machines held in reserve are passed over while others have room.
 	p.pack()
 	p.pool = prefer(p.pool, func(m *machine) bool { return !m.reserve })
-	// Cores in use beyond what the class bears spoil the service of all that run there.
-	p.pool = prefer(p.pool, func(m *machine) bool { return m.busyAfter <= 0 })
+	if !p.agreed() {
+		p.pool = prefer(p.pool, calm)
+	}
 	if !(p.cfg.CrossPrice > 0) {
 		return p.pool
 	}
@@ -452,16 +453,24 @@
 	set := p.filter(t)
 	t.fresh = !p.slowFresh(t)
 	if !t.fresh {
-		if likely := p.likely(t, set); len(likely) > 0 {
+		if likely := prefer(p.likely(t, set), calm); len(likely) > 0 {
 			if first, second = p.pair(t, likely); p.contenders(first) <= p.limit(len(likely)) {
 				return first, second
 			}
 		}
 		t.fresh = true
 	}
-	return p.pair(t, set)
+	return p.pair(t, prefer(set, calm))
 }
 
+// calm says whether the cores are not used beyond what the class of the task at hand bears: that spoils the
+// service of all that run there.
+func calm(m *machine) bool { return m.busyAfter <= 0 }
+
+// agreed says whether it is known where a service runs: its tasks come to one scheduler, or to so many that
+// they go by its number. Then the program comes before calm cores, else the other way round.
+func (p *Placer) agreed() bool { return p.cfg.ServicesStay || p.cfg.Peers > 2*homes }
+
 // pair draws two of the set at random, again while both are crowded. If every pair was crowded the last
 // stands, less crowded first: holding the task back helps nobody.
 func (p *Placer) pair(t *ask, set []*machine) (a, b *machine) {
@@ -515,7 +524,7 @@
 			n++
 		}
 	}
-	if p.cfg.ServicesStay || p.cfg.Peers <= 2*homes {
+	if p.cfg.ServicesStay || !p.agreed() {
 		return set[:n]
 	}
 	for _, m := range set {
