--- a/placer/placer.go
+++ b/placer/placer.go
@@ -315,7 +315,7 @@
 		if m.reserve && !was {
 			m.reserveSince = p.now
 		}
-		if m.strikes == 0 {
+		if m.strikes == 0 && !p.cold(m) { // a cold one takes few: counted in, it would close warm ones
 			c += m.cores
 			mem += m.memory
 		}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -961,3 +961,24 @@
 		t.Errorf("asks are taken to come to %.2f of cores and %.2f of memory, want 0.5 and 0.25", c, m)
 	}
 }
+
+// A fleet that grows with cold machines: they take few tasks yet, so counting on them would close warm ones.
+func TestColdMachinesDoNotPutWarmOnesInReserve(t *testing.T) {
+	c := config()
+	c.FleetPrice = 0.2
+	nodes := fleet(12)
+	for i := range nodes {
+		nodes[i].FreeCores *= 0.5
+		nodes[i].FreeMemory *= 0.5
+		if i%2 > 0 {
+			nodes[i].Since = 99.5
+		}
+	}
+	p := start(t, c, 1, nodes)
+	arrive(p, 100.1, task(1, 0))
+	for _, m := range p.machines {
+		if m.reserve && m.Since == 0 {
+			t.Fatalf("warm machine %d is in reserve, half of the fleet is cold", m.ID)
+		}
+	}
+}
