--- a/placer/placer.go
+++ b/placer/placer.go
@@ -31,7 +31,7 @@
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	homes       = 2    // machines drawn by a service's number, where its tasks come to many schedulers
-	keptOwn     = 4    // own programs that a machine is taken to keep after their last task
+	keptOwn     = 8    // own programs that a machine is taken to keep after their last task
 	inAimWait   = 0.5  // of a wait for room while the aim can be met: such a start is worth most
 	lateWait    = 2.0  // and after it, so that late tasks leave new room to those in time
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
