Readings of use go on from the hints, and reserves change sooner: peers must agree on them

Cause: with a band of 15% between closing and opening, and a first reading that wiped out the notes, schedulers held 8 to 17 of 25 machines in reserve at the same moment, so none was empty. May hurt where demand swings fast: machines open and close more often.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,7 +27,7 @@
 	learn       = 0.1  // weight of a new reading in running means
 	fadeBorne   = 0.25 // of the fade of a class's service that is borne before a machine counts as too full
 	packTo      = 0.8  // of what open machines bear is used before one more is opened
-	packKeep    = 0.85 // of packTo, under which an open one is closed again
+	packKeep    = 0.95 // of packTo, under which an open one is closed again
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	homes       = 2    // machines drawn by a service's number, where its tasks come to many schedulers
--- a/placer/state.go
+++ b/placer/state.go
@@ -107,17 +107,20 @@
 )
 
 // average is a running mean and deviation. Until the first reading hints stand in, the mean that it begins with
-// counting as one of them.
+// counting as one of them; readings then go on from there, by number while these are few.
 type average struct {
 	mean, dev float64
 	n, hints  int
 }
 
 func (a *average) add(x, weight float64) {
-	if a.n++; a.n == 1 {
+	if a.n++; a.n+a.hints == 1 {
 		a.mean, a.dev = x, x/2
 		return
 	}
+	if a.hints > 0 {
+		weight = max(weight, 1/float64(a.n+a.hints))
+	}
 	d := x - a.mean
 	a.mean += d * weight
 	a.dev += (max(d, -d) - a.dev) * weight
