--- a/placer/placer.go
+++ b/placer/placer.go
@@ -18,7 +18,6 @@
 	window      = 2.0  // seconds for which a bind counts as a contender; the design's own figure
 	redraws     = 8    // draws at once when both of a pair are passed over
 	wait        = 1.0  // seconds, mean, before a task that both refused draws afresh; the design's figure
-	noneWait    = 0.3  // of wait, when no machine passes: nothing was refused, so look again sooner
 	jitter      = 0.4  // part of every wait that is random, so that waves of tasks do not come back as waves
 	memoryTight = 0.92 // of memory in use: beyond it machines slow down, at 1 they evict
 	fewTrusted  = 4    // mistrust may leave one in so many of the machines with room, never fewer
@@ -32,8 +31,8 @@
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
 	homes       = 2    // machines drawn by a service's number, where its tasks come to many schedulers
 	keptOwn     = 8    // own programs that a machine is taken to keep after their last task
-	inAimWait   = 0.5  // of a wait for room while the aim can be met: such a start is worth most
-	lateWait    = 2.0  // and after it, so that late tasks leave new room to those in time
+	inAimWait   = 0.15 // of wait, when no machine passes and the aim can be met: such a start is worth most
+	lateWait    = 0.6  // and after it, so that late tasks leave new room to those in time
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
@@ -59,7 +58,6 @@
 	sorted    []*machine
 	packed    bool
 	packedAt  float64
-	heldAt    float64   // when a task was last held back
 	answers   []average // time to an answer, per class
 	fresh     []average // time to a start on a machine that held no own task of the service, per class
 	useCores  average   // use over ask, all machines
@@ -323,11 +321,10 @@
 }
 
 // tidy moves the last own tasks off a machine that has been in reserve for long: they would keep it in use
-// until the longest of them ends. It acts only in quiet: no task was held back of late, and the machine is
-// nearly empty. Tasks that merely start do not count: where a bind is told at the start, some always do.
+// until the longest of them ends. It must be nearly empty, so that peers who do the same move few tasks.
 func (p *Placer) tidy() {
 	p.pack()
-	if p.cfg.FleetPrice <= p.cfg.MovePrice || p.now-p.heldAt < window {
+	if p.cfg.FleetPrice <= p.cfg.MovePrice {
 		return
 	}
 	for _, m := range p.sorted {
@@ -602,9 +599,9 @@
 	}
 	first, second := p.draw(t)
 	if first == nil {
-		about := noneWait * wait * lateWait
+		about := lateWait * wait
 		if p.now < t.arrived+p.cfg.Classes[t.Class].Aim {
-			about = noneWait * wait * inAimWait
+			about = inAimWait * wait
 		}
 		p.hold(t, about)
 		return
@@ -648,7 +645,7 @@
 		p.answer(t)
 		return
 	}
-	t.other, p.heldAt = nil, p.now
+	t.other = nil
 	p.wakeIn(t, wakeRedraw, after)
 }
 
