--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,6 +26,7 @@
 	learn       = 0.1  // weight of a new reading in running means
 	fadeBorne   = 0.25 // of the fade of a class's service that is borne before a machine counts as too full
 	packTo      = 0.8  // of what open machines bear is used before one more is opened
+	runPatience = 0.7  // of the deadline, where the answer is the start: one given up still holds its room
 	packKeep    = 0.95 // of packTo, under which an open one is closed again
 	tidyEvery   = 0.1  // of window, between moves of one scheduler
 	nearlyEmpty = 0.3  // of a machine is asked for when moving its last tasks begins
@@ -628,7 +629,7 @@
 	c, seen := &p.cfg.Classes[t.Class], &p.answers[t.Class]
 	least := c.Aim / 2
 	if p.cfg.AnswersWhenRunning {
-		return c.Deadline // a start given up goes on and holds its room: giving up feeds an overload
+		return c.Deadline * runPatience
 	} else if c.Effect == Once {
 		least = 2 * c.Aim
 	}
