--- a/placer/api.go
+++ b/placer/api.go
@@ -6,6 +6,11 @@
 // reads no clock, starts no goroutine and is for one goroutine at a time.
 package placer
 
+import (
+	"errors"
+	"fmt"
+)
+
 // TaskID names one ask for a placing; a task that comes again has a new one.
 type TaskID uint64
 
@@ -100,6 +105,45 @@
 	OverShareWorth float64 // worth of a task beyond its tenant's share
 }
 
+// check returns an error that names the first field that cannot be used.
+func (c *Config) check() error {
+	switch {
+	case len(c.Classes) == 0:
+		return errors.New("config has no classes")
+	case len(c.Kinds) == 0:
+		return errors.New("config has no kinds of machine")
+	case c.Peers < 1:
+		return fmt.Errorf("peers %d: want at least 1", c.Peers)
+	case c.Self < 0 || c.Self >= c.Peers:
+		return fmt.Errorf("self %d: want 0 to %d, one of the peers", c.Self, c.Peers-1)
+	case c.MaxAttempts < 1:
+		return fmt.Errorf("attempts %d: want at least 1", c.MaxAttempts)
+	}
+	for _, v := range []struct {
+		name  string
+		value float64
+	}{
+		{"warm within", c.WarmWithin}, {"fall window", c.FallWindow}, {"cold always", c.ColdAlways},
+		{"answer slack", c.AnswerSlack}, {"drain grace", c.DrainGrace}, {"ask within", c.AskWithin},
+		{"fleet price", c.FleetPrice}, {"cross price", c.CrossPrice}, {"move price", c.MovePrice},
+	} {
+		if !(v.value >= 0) {
+			return fmt.Errorf("%s %v: want 0 or more", v.name, v.value)
+		}
+	}
+	for i, k := range c.Classes {
+		if !(k.Aim > 0) || !(k.Deadline > 0) {
+			return fmt.Errorf("class %d: aim %v or deadline %v not usable", i, k.Aim, k.Deadline)
+		}
+	}
+	for i, k := range c.Kinds {
+		if !(k.Cores > 0) || !(k.Memory > 0) {
+			return fmt.Errorf("kind %d: cores %v or memory %v not usable", i, k.Cores, k.Memory)
+		}
+	}
+	return nil
+}
+
 // Task is one ask for a placing.
 type Task struct {
 	ID            TaskID
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -73,15 +72,8 @@
 
 // New returns a Placer, or an error that names what in the configuration cannot be used.
 func New(cfg Config, seed uint64) (*Placer, error) {
-	if len(cfg.Classes) == 0 {
-		return nil, errors.New("placer: config has no classes")
-	}
-	if len(cfg.Kinds) == 0 {
-		return nil, errors.New("placer: config has no kinds of machine")
-	}
-	if cfg.Peers < 1 || cfg.Self < 0 || cfg.MaxAttempts < 1 {
-		return nil, fmt.Errorf("placer: self %d, peers %d, attempts %d: not usable",
-			cfg.Self, cfg.Peers, cfg.MaxAttempts)
+	if err := cfg.check(); err != nil {
+		return nil, fmt.Errorf("placer: %w", err)
 	}
 	p := &Placer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
@@ -91,17 +83,9 @@
 		useCores: average{mean: 1}, useMemory: average{mean: 1},
 		shortAim: math.Inf(1),
 	}
-	for i, c := range cfg.Classes {
-		if !(c.Aim > 0) || !(c.Deadline > 0) {
-			return nil, fmt.Errorf("placer: class %d: aim %v or deadline %v not usable", i, c.Aim, c.Deadline)
-		}
+	for _, c := range cfg.Classes {
 		p.shortAim = min(p.shortAim, c.Aim)
 	}
-	for i, k := range cfg.Kinds {
-		if !(k.Cores > 0) || !(k.Memory > 0) {
-			return nil, fmt.Errorf("placer: kind %d: cores %v or memory %v not usable", i, k.Cores, k.Memory)
-		}
-	}
 	return p, nil
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -87,7 +87,8 @@
 	for name, spoil := range map[string]func(*Config){
 		"classes": func(c *Config) { c.Classes = nil }, "kinds": func(c *Config) { c.Kinds = nil },
 		"peers": func(c *Config) { c.Peers = 0 }, "aim": func(c *Config) { c.Classes[0].Aim = math.NaN() },
-		"cores": func(c *Config) { c.Kinds[0].Cores = 0 },
+		"cores": func(c *Config) { c.Kinds[0].Cores = 0 }, "self": func(c *Config) { c.Self = c.Peers },
+		"fleet price": func(c *Config) { c.FleetPrice = -1 }, "fall window": func(c *Config) { c.FallWindow = math.NaN() },
 	} {
 		c := config()
 		spoil(&c)
