An event loop on epoll: sockets, timers, posted functions on one goroutine

The program that runs the decisions needs one goroutine that owns all state and a cost per ready event that does not grow with idle connections. epoll, level triggered, with a reserve descriptor for EMFILE, bounded unread bytes, and writes that leave once a turn. An idle connection holds no buffer.

--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,406 @@
+//go:build linux
+
+// Package loop is the one event loop that every heathshed process runs on: epoll readiness, non-blocking
+// sockets, timers and posted functions, all on the goroutine that calls Run.
+//
+// It knows bytes and connections and nothing of what they mean. It may touch the operating system; it imports
+// no other package of the project.
+package loop
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Limits that hold for every connection unless set otherwise.
+const (
+	// DefaultMaxIn is how many bytes a handler may leave unread before reading stops.
+	DefaultMaxIn = 4 << 20
+	// DefaultMaxConns is how many accepted connections a loop holds.
+	DefaultMaxConns = 16384
+	readChunk       = 64 << 10
+	acceptBatch     = 64
+)
+
+// ErrMaxConns closes a connection over the limit.
+var ErrMaxConns = errors.New("too many connections")
+
+// Loop runs handlers, timers and posted functions one after another. Only Post and Stop may be called from other
+// goroutines.
+type Loop struct {
+	epfd, evfd int
+	reserve    int // a descriptor kept to close, so that accept can refuse when descriptors run out
+	conns      []*Conn
+	listeners  map[int]*Listener
+	gen        int32
+	accepted   int
+	maxConns   int
+
+	start  time.Time
+	wall   float64 // Unix seconds at start
+	now    float64
+	timers timerHeap
+	seq    uint64
+	dirty  []*Conn
+	again  []*Conn
+	buf    []byte
+
+	mu      sync.Mutex
+	posted  []func()
+	stopped bool
+
+	// Iterations and Events count turns of the loop and ready descriptors, for metrics.
+	Iterations, Events uint64
+}
+
+// New makes a loop. Close it by letting Run end.
+func New() (*Loop, error) {
+	epfd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	evfd, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
+	if err != nil {
+		unix.Close(epfd)
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	ev := unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(evfd)}
+	if err := unix.EpollCtl(epfd, unix.EPOLL_CTL_ADD, evfd, &ev); err != nil {
+		unix.Close(epfd)
+		unix.Close(evfd)
+		return nil, fmt.Errorf("epoll add: %w", err)
+	}
+	t := time.Now()
+	l := &Loop{epfd: epfd, evfd: evfd, listeners: map[int]*Listener{}, maxConns: DefaultMaxConns,
+		start: t, wall: float64(t.UnixNano()) / 1e9, buf: make([]byte, readChunk)}
+	l.reserve, _ = unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	l.now = l.wall
+	return l, nil
+}
+
+// SetMaxConns bounds the accepted connections held at a time.
+func (l *Loop) SetMaxConns(n int) { l.maxConns = n }
+
+// Now is the time of this turn in Unix seconds. It never goes back, whatever is done to the clock of the machine.
+func (l *Loop) Now() float64 { return l.now }
+
+func (l *Loop) readClock() float64 { return l.wall + time.Since(l.start).Seconds() }
+
+// Accepted is the number of accepted connections open now.
+func (l *Loop) Accepted() int { return l.accepted }
+
+// Post has f run on the loop soon. It may be called from any goroutine; after Stop it does nothing.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	stopped := l.stopped
+	first := len(l.posted) == 0
+	if !stopped {
+		l.posted = append(l.posted, f)
+		if first {
+			// Under the lock, so that the descriptor cannot be closed in between.
+			unix.Write(l.evfd, []byte{1, 0, 0, 0, 0, 0, 0, 0})
+		}
+	}
+	l.mu.Unlock()
+}
+
+// Stop ends Run after the present turn.
+func (l *Loop) Stop() {
+	l.mu.Lock()
+	if !l.stopped {
+		l.stopped = true
+		unix.Write(l.evfd, []byte{1, 0, 0, 0, 0, 0, 0, 0})
+	}
+	l.mu.Unlock()
+}
+
+// Run turns the loop until Stop. At its end every descriptor is closed; handlers get no further calls.
+func (l *Loop) Run() error {
+	defer l.close()
+	events := make([]unix.EpollEvent, 256)
+	for {
+		l.mu.Lock()
+		stopped, waiting := l.stopped, len(l.posted) > 0
+		l.mu.Unlock()
+		if stopped {
+			return nil
+		}
+		wait := -1
+		if waiting || len(l.again) > 0 {
+			wait = 0
+		} else if len(l.timers) > 0 {
+			d := l.timers[0].at - l.readClock()
+			switch {
+			case d <= 0:
+				wait = 0
+			case d > 60:
+				wait = 60000
+			default:
+				wait = int(d*1000) + 1
+			}
+		}
+		n, err := unix.EpollWait(l.epfd, events, wait)
+		if err != nil && err != unix.EINTR {
+			return fmt.Errorf("epoll wait: %w", err)
+		}
+		l.now = max(l.now, l.readClock())
+		l.Iterations++
+		l.turn(events[:max(n, 0)])
+	}
+}
+
+func (l *Loop) turn(events []unix.EpollEvent) {
+	l.Events += uint64(len(events))
+	for i := range events {
+		ev := &events[i]
+		fd := int(ev.Fd)
+		if fd == l.evfd {
+			var b [8]byte
+			unix.Read(l.evfd, b[:])
+			continue
+		}
+		if ln := l.listeners[fd]; ln != nil {
+			ln.accept()
+			continue
+		}
+		if fd < len(l.conns) && l.conns[fd] != nil && l.conns[fd].gen == ev.Pad {
+			l.conns[fd].ready(ev.Events)
+		}
+	}
+	l.mu.Lock()
+	posted := l.posted
+	l.posted = nil
+	l.mu.Unlock()
+	for _, f := range posted {
+		f()
+	}
+	for n := len(l.timers); n > 0 && len(l.timers) > 0 && l.timers[0].at <= l.now; n-- {
+		t := heap.Pop(&l.timers).(*Timer)
+		t.fn()
+	}
+	again := l.again
+	l.again = nil
+	for _, c := range again {
+		if c.again = false; !c.closed && !c.paused {
+			c.deliver(nil)
+		}
+	}
+	// What handlers wrote goes out once a turn, so that the answers of a pipeline share a system call.
+	for len(l.dirty) > 0 {
+		dirty := l.dirty
+		l.dirty = nil
+		for _, c := range dirty {
+			if c.dirty = false; !c.closed {
+				c.flush()
+			}
+		}
+	}
+}
+
+func (l *Loop) close() {
+	l.mu.Lock()
+	l.stopped, l.posted = true, nil
+	unix.Close(l.evfd)
+	l.mu.Unlock()
+	for _, c := range l.conns {
+		if c != nil {
+			unix.Close(c.fd)
+		}
+	}
+	for fd := range l.listeners {
+		unix.Close(fd)
+	}
+	if l.reserve >= 0 {
+		unix.Close(l.reserve)
+	}
+	unix.Close(l.epfd)
+}
+
+// Timer is a function that runs later.
+type Timer struct {
+	at    float64
+	seq   uint64
+	index int
+	fn    func()
+	l     *Loop
+}
+
+// At has f run on the loop at the given time in Unix seconds, or soon after.
+func (l *Loop) At(at float64, f func()) *Timer {
+	l.seq++
+	t := &Timer{at: at, seq: l.seq, fn: f, l: l}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// After has f run once the given number of seconds has passed.
+func (l *Loop) After(seconds float64, f func()) *Timer { return l.At(l.now+seconds, f) }
+
+// Stop takes the timer back. It may be called on a nil or spent timer.
+func (t *Timer) Stop() {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&t.l.timers, t.index)
+	}
+}
+
+type timerHeap []*Timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *timerHeap) Push(x any) {
+	t := x.(*Timer)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.index = -1
+	return t
+}
+
+// Listener accepts connections.
+type Listener struct {
+	l       *Loop
+	fd      int
+	addr    netip.AddrPort
+	handler func(*Conn) Handler
+}
+
+// Listen accepts TCP connections at a loopback or other literal address, such as 127.0.0.1:0. Each gets the handler
+// that the function returns.
+func (l *Loop) Listen(addr string, handler func(*Conn) Handler) (*Listener, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen %s: %w", addr, err)
+	}
+	fd, err := unix.Socket(family(ap), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("listen %s: socket: %w", addr, err)
+	}
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err = unix.Bind(fd, sockaddr(ap)); err == nil {
+		err = unix.Listen(fd, 4096)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("listen %s: %w", addr, err)
+	}
+	ln := &Listener{l: l, fd: fd, addr: ap, handler: handler}
+	if sa, err := unix.Getsockname(fd); err == nil {
+		ln.addr = addrPort(sa)
+	}
+	ev := unix.EpollEvent{Events: unix.EPOLLIN, Fd: int32(fd)}
+	if err := unix.EpollCtl(l.epfd, unix.EPOLL_CTL_ADD, fd, &ev); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("listen %s: epoll add: %w", addr, err)
+	}
+	l.listeners[fd] = ln
+	return ln, nil
+}
+
+// Addr is the address listened at, with the port that the system chose.
+func (ln *Listener) Addr() string { return ln.addr.String() }
+
+// Close stops accepting.
+func (ln *Listener) Close() {
+	if ln.l.listeners[ln.fd] == ln {
+		delete(ln.l.listeners, ln.fd)
+		unix.Close(ln.fd)
+	}
+}
+
+func (ln *Listener) accept() {
+	l := ln.l
+	for range acceptBatch {
+		fd, sa, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch err {
+		case nil:
+		case unix.EINTR, unix.ECONNABORTED:
+			continue
+		case unix.EMFILE, unix.ENFILE:
+			// No descriptor left: the connection would stay ready and the loop would spin. The reserve takes it
+			// in, so that it can be closed.
+			if l.reserve >= 0 {
+				unix.Close(l.reserve)
+				if fd, _, err := unix.Accept4(ln.fd, unix.SOCK_CLOEXEC); err == nil {
+					unix.Close(fd)
+				}
+				l.reserve, _ = unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+				continue
+			}
+			return
+		default:
+			return
+		}
+		if l.accepted >= l.maxConns {
+			unix.Close(fd)
+			continue
+		}
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		c := l.add(fd, unix.EPOLLIN|unix.EPOLLRDHUP)
+		if c == nil {
+			continue
+		}
+		c.accepted, c.peer = true, addrPort(sa)
+		l.accepted++
+		c.h = ln.handler(c)
+		c.h.Opened(c)
+	}
+}
+
+func (l *Loop) add(fd int, events uint32) *Conn {
+	l.gen++
+	c := &Conn{l: l, fd: fd, gen: l.gen, interest: events, MaxIn: DefaultMaxIn}
+	ev := unix.EpollEvent{Events: events, Fd: int32(fd), Pad: c.gen}
+	if err := unix.EpollCtl(l.epfd, unix.EPOLL_CTL_ADD, fd, &ev); err != nil {
+		unix.Close(fd)
+		return nil
+	}
+	for len(l.conns) <= fd {
+		l.conns = append(l.conns, nil)
+	}
+	l.conns[fd] = c
+	return c
+}
+
+func family(ap netip.AddrPort) int {
+	if ap.Addr().Is4() {
+		return unix.AF_INET
+	}
+	return unix.AF_INET6
+}
+
+func sockaddr(ap netip.AddrPort) unix.Sockaddr {
+	if ap.Addr().Is4() {
+		return &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().As4()}
+	}
+	return &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ap.Addr().As16()}
+}
+
+func addrPort(sa unix.Sockaddr) netip.AddrPort {
+	switch s := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(s.Addr), uint16(s.Port))
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(s.Addr), uint16(s.Port))
+	}
+	return netip.AddrPort{}
+}
