--- /dev/null
+++ b/internal/http1/write.go
@@ -0,0 +1,73 @@
+package http1
+
+import "strconv"
+
+// AppendStatus appends a status line.
+func AppendStatus(b []byte, status int) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, StatusText(status)...)
+	return append(b, "\r\n"...)
+}
+
+// AppendRequestLine appends a request line.
+func AppendRequestLine(b []byte, method, target string) []byte {
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, target...)
+	return append(b, " HTTP/1.1\r\n"...)
+}
+
+// AppendField appends one header field. Line ends in the value become spaces, so that no value can add a field.
+func AppendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	for i := 0; i < len(value); i++ {
+		if c := value[i]; c == '\r' || c == '\n' || c == 0 {
+			b = append(b, ' ')
+		} else {
+			b = append(b, c)
+		}
+	}
+	return append(b, "\r\n"...)
+}
+
+// AppendLength appends a Content-Length field.
+func AppendLength(b []byte, n int) []byte {
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, int64(n), 10)
+	return append(b, "\r\n"...)
+}
+
+// AppendChunk appends one chunk; nothing for no data, which would end the body.
+func AppendChunk(b, data []byte) []byte {
+	if len(data) == 0 {
+		return b
+	}
+	b = strconv.AppendInt(b, int64(len(data)), 16)
+	b = append(b, "\r\n"...)
+	b = append(b, data...)
+	return append(b, "\r\n"...)
+}
+
+// LastChunk ends a chunked body without trailers.
+const LastChunk = "0\r\n\r\n"
+
+var statusTexts = map[int]string{
+	100: "Continue", 200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 304: "Not Modified",
+	400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
+	406: "Not Acceptable", 408: "Request Timeout", 409: "Conflict", 410: "Gone", 411: "Length Required",
+	413: "Content Too Large", 414: "URI Too Long", 415: "Unsupported Media Type", 417: "Expectation Failed",
+	422: "Unprocessable Content", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+	500: "Internal Server Error", 501: "Not Implemented", 503: "Service Unavailable", 504: "Gateway Timeout",
+	505: "HTTP Version Not Supported",
+}
+
+// StatusText is the reason phrase of a status.
+func StatusText(status int) string {
+	if s := statusTexts[status]; s != "" {
+		return s
+	}
+	return "Status"
+}
