The engine: jobs, tasks, attempts and machines behind the API, and a store with revisions

A pure state machine between API and module: calls with a time go in, effects come out, every decision on placing is placer's. What owners do between asks stands in a package of its own.

--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,402 @@
+// Package engine is the running scheduler without its sockets: jobs, tasks, attempts and machines, and the path from an
+// API call to an offer and back.
+//
+// It is pure: no I/O, no clock, no goroutine, no global. Calls bring in the time in Unix seconds, which must not go back;
+// what must happen outside comes out as effects, which the caller takes with Ready after each call and carries out in
+// order. The same calls at the same times give the same effects and the same objects, on sockets and in simulated time.
+//
+// It decides nothing about placing: that is placer's. What an owner does between asks is decided by package owner.
+package engine
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	batchv1 "k8s.io/api/batch/v1"
+	corev1 "k8s.io/api/core/v1"
+	"k8s.io/apimachinery/pkg/types"
+
+	"heathshed/internal/owner"
+	"heathshed/internal/store"
+	"heathshed/placer"
+)
+
+// Config is what an engine is told at its start.
+type Config struct {
+	Name         string // of this scheduler; machines keep it with each Pod
+	Placer       placer.Config
+	Classes      []string // names, as in Placer.Classes
+	DefaultClass int
+	Kinds        []string // names, as in Placer.Kinds
+	Tenants      []string // namespaces, as in Placer.Tenants; every namespace may ask if there are none
+	Zone         string   // of this scheduler
+	Owner        owner.Policy
+	Seed         uint64
+	BaseRev      int64   // revisions begin above this
+	History      int     // changes kept per table for watches
+	MaxPods      int     // Pods held at a time; further Jobs are turned away
+	KeepFinished float64 // seconds that a finished Job without a time of its own is kept
+	LostAfter    float64 // seconds that a machine may be neither heard of nor listed before its tasks count as lost
+	AdmitAtOnce  int     // tasks begun in one call; the rest follow in the next
+}
+
+// Defaults for what a Config leaves at zero.
+const (
+	DefaultHistory     = 20000
+	DefaultMaxPods     = 200000
+	DefaultLostAfter   = 8.0
+	DefaultAdmitAtOnce = 256
+)
+
+// EffectKind selects what an Effect asks for.
+type EffectKind uint8
+
+// The effects. SendOffer: POST Pod to the machine, answer with OfferDone. Abandon: stop waiting for the answer to an offer;
+// OfferDone may still come. StopTask: DELETE the Pod at the machine and forbid attempts up to Attempt, answer with StopDone.
+// FollowNode: list and watch the Pods of the machine. LeaveNode: stop that. Relist: list the machines anew.
+const (
+	SendOffer EffectKind = iota + 1
+	Abandon
+	StopTask
+	FollowNode
+	LeaveNode
+	Relist
+)
+
+// Effect is something that must happen outside.
+type Effect struct {
+	Kind      EffectKind
+	Node      string
+	Address   string // of the machine: host:port
+	Pod       *corev1.Pod
+	UID       types.UID
+	Namespace string
+	Name      string
+	Attempt   int
+	Until     float64 // SendOffer: the answer is of no use after this
+}
+
+// Engine is one scheduler. It is for one goroutine.
+type Engine struct {
+	cfg    Config
+	now    float64
+	rng    *rand.Rand
+	placer *placer.Placer
+	store  *store.Store
+
+	acts    []placer.Action
+	queue   []placer.Event
+	feeding bool
+	effects []Effect
+
+	timers   timers
+	timerSeq uint64
+
+	jobs     map[string]*job // by namespace/name
+	tasks    map[types.UID]*task
+	asks     map[placer.TaskID]*ask
+	lastAsk  placer.TaskID
+	nodes    map[string]*node
+	byID     map[placer.NodeID]*node
+	zones    map[string]int
+	racks    map[string]int
+	dirty    []*job
+	backlog  []*job // jobs with tasks to begin
+	admits   bool   // a timer for the backlog is set
+	stopping bool
+	unnamed  int // tasks that have no final answer yet
+
+	// Stats count what happened since the start.
+	Stats Stats
+}
+
+// Stats are counters.
+type Stats struct {
+	Asks, Offers, Accepted, Refusals, Doubts, Adopted, Stops     uint64
+	Placed, Refused, Failed                                      uint64
+	AskedAgain, LostTasks, EvictedTasks, MovedTasks, TakenOver   uint64
+	JobsCreated, JobsFinished, PodsCreated, JobsTurnedAway, Late uint64
+}
+
+// New makes an engine, or says which part of the configuration cannot be used.
+func New(cfg Config) (*Engine, error) {
+	if len(cfg.Classes) != len(cfg.Placer.Classes) {
+		return nil, fmt.Errorf("engine: %d class names for %d classes", len(cfg.Classes), len(cfg.Placer.Classes))
+	}
+	if len(cfg.Kinds) != len(cfg.Placer.Kinds) {
+		return nil, fmt.Errorf("engine: %d kind names for %d kinds", len(cfg.Kinds), len(cfg.Placer.Kinds))
+	}
+	if cfg.DefaultClass < 0 || cfg.DefaultClass >= len(cfg.Classes) {
+		return nil, fmt.Errorf("engine: default class %d of %d", cfg.DefaultClass, len(cfg.Classes))
+	}
+	set := func(p *int, v int) {
+		if *p <= 0 {
+			*p = v
+		}
+	}
+	set(&cfg.History, DefaultHistory)
+	set(&cfg.MaxPods, DefaultMaxPods)
+	set(&cfg.AdmitAtOnce, DefaultAdmitAtOnce)
+	if cfg.LostAfter <= 0 {
+		cfg.LostAfter = DefaultLostAfter
+	}
+	if cfg.Owner == (owner.Policy{}) {
+		cfg.Owner = owner.DefaultPolicy()
+	}
+	e := &Engine{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x6865617468)),
+		store: store.New(cfg.BaseRev, cfg.History), jobs: map[string]*job{}, tasks: map[types.UID]*task{},
+		asks: map[placer.TaskID]*ask{}, nodes: map[string]*node{}, byID: map[placer.NodeID]*node{},
+		zones: map[string]int{cfg.Zone: 0}, racks: map[string]int{}}
+	e.cfg.Placer.Zone = 0
+	var err error
+	if e.placer, err = placer.New(e.cfg.Placer, cfg.Seed); err != nil {
+		return nil, fmt.Errorf("engine: %w", err)
+	}
+	e.addNamespaces()
+	return e, nil
+}
+
+// Store is the engine's store, to be read between calls.
+func (e *Engine) Store() *store.Store { return e.store }
+
+// Config returns the configuration with defaults filled in.
+func (e *Engine) Config() Config { return e.cfg }
+
+// Ready takes the effects that have come up, appended to dst.
+func (e *Engine) Ready(dst []Effect) []Effect {
+	dst = append(dst, e.effects...)
+	clear(e.effects)
+	e.effects = e.effects[:0]
+	return dst
+}
+
+// NextWake is when Tick wants to be called, infinity if never.
+func (e *Engine) NextWake() float64 {
+	if len(e.timers) == 0 {
+		return math.Inf(1)
+	}
+	return e.timers[0].at
+}
+
+// Tick lets due timers run.
+func (e *Engine) Tick(now float64) {
+	e.begin(now)
+	for n := len(e.timers); n > 0 && len(e.timers) > 0 && e.timers[0].at <= e.now; n-- {
+		heap.Pop(&e.timers).(*timer).fn()
+	}
+	e.end()
+}
+
+// Open is the number of tasks without a final answer.
+func (e *Engine) Open() int { return e.unnamed }
+
+// Stop turns new Jobs away from now on and gives every task that waits its final answer as soon as the rules allow: tasks
+// are not asked again.
+func (e *Engine) Stop(now float64) {
+	e.begin(now)
+	e.stopping = true
+	for _, t := range e.sortedTasks() {
+		if t.phase == waiting && !t.inDoubt() {
+			e.settle(t, e.endOf(t), "the scheduler stops")
+		}
+	}
+	e.end()
+}
+
+// begin and end stand around every call.
+func (e *Engine) begin(now float64) { e.now = max(e.now, now) }
+
+func (e *Engine) end() {
+	e.drainQueue()
+	dirty := e.dirty
+	e.dirty = nil
+	for _, j := range dirty {
+		j.dirty = false
+		e.flushJob(j)
+	}
+	e.drainQueue()
+}
+
+// feed hands an event to the placer and carries out its actions, in order. An event that comes up while actions are carried
+// out waits its turn.
+func (e *Engine) feed(ev placer.Event) { e.queue = append(e.queue, ev) }
+
+func (e *Engine) drainQueue() {
+	if e.feeding {
+		return
+	}
+	e.feeding = true
+	for len(e.queue) > 0 {
+		ev := e.queue[0]
+		e.queue = e.queue[1:]
+		e.acts = e.placer.Handle(e.now, ev, e.acts[:0])
+		for i := range e.acts {
+			e.carryOut(&e.acts[i])
+		}
+	}
+	e.queue = nil
+	e.feeding = false
+}
+
+func (e *Engine) carryOut(a *placer.Action) {
+	switch a.Kind {
+	case placer.Offer:
+		e.offer(a)
+	case placer.Refuse:
+		e.answered(a.Task, owner.WasRefused, a.After)
+	case placer.Fail:
+		e.answered(a.Task, owner.WasFailed, 0)
+	case placer.Wake:
+		token := a.Token
+		e.after(a.After, func() { e.feed(placer.Event{Kind: placer.Woken, Token: token}); e.drainQueue() })
+	case placer.Watch, placer.Fetch:
+		e.effect(Effect{Kind: Relist})
+	case placer.Move:
+		e.move(a.Task)
+	}
+}
+
+func (e *Engine) effect(x Effect) { e.effects = append(e.effects, x) }
+
+type timer struct {
+	at    float64
+	seq   uint64
+	index int
+	fn    func()
+}
+
+type timers []*timer
+
+func (h timers) Len() int { return len(h) }
+func (h timers) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].index, h[j].index = i, j }
+func (h *timers) Push(x any)   { x.(*timer).index = len(*h); *h = append(*h, x.(*timer)) }
+func (h *timers) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.index = -1
+	return t
+}
+
+func (e *Engine) at(at float64, fn func()) *timer {
+	e.timerSeq++
+	t := &timer{at: at, seq: e.timerSeq, fn: fn}
+	heap.Push(&e.timers, t)
+	return t
+}
+
+func (e *Engine) after(d float64, fn func()) *timer { return e.at(e.now+max(d, 0), fn) }
+
+func (e *Engine) stopTimer(t *timer) {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&e.timers, t.index)
+	}
+}
+
+// newUID makes a random identity in the form of a UUID, from the engine's own seed.
+func (e *Engine) newUID() types.UID {
+	a, b := e.rng.Uint64(), e.rng.Uint64()
+	return types.UID(fmt.Sprintf("%08x-%04x-4%03x-%04x-%012x", uint32(a), uint16(a>>32), a>>52,
+		0x8000|uint16(b)&0x3fff, b>>16))
+}
+
+const suffixLetters = "bcdfghjklmnpqrstvwxz2456789"
+
+// suffix makes five letters for generated names, as the Kubernetes API does.
+func (e *Engine) suffix() string {
+	b := make([]byte, 5)
+	for i := range b {
+		b[i] = suffixLetters[e.rng.IntN(len(suffixLetters))]
+	}
+	return string(b)
+}
+
+// serviceID is the same at every scheduler for the same service.
+func serviceID(namespace, service string) placer.ServiceID {
+	return placer.ServiceID(xxhash.Sum64String(namespace + "/" + service))
+}
+
+func (e *Engine) sortedTasks() []*task {
+	out := make([]*task, 0, len(e.tasks))
+	for _, t := range e.tasks {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].seq < out[j].seq })
+	return out
+}
+
+func intern(m map[string]int, name string) int {
+	i, ok := m[name]
+	if !ok {
+		i = len(m)
+		m[name] = i
+	}
+	return i
+}
+
+// Errors of calls. The API turns them into statuses.
+var (
+	ErrNotFound = errors.New("not found")
+	ErrExists   = errors.New("already exists")
+	ErrConflict = errors.New("the object has been modified; read it again")
+	ErrTooMany  = errors.New("too many tasks are held; try again later")
+	ErrStopping = errors.New("the scheduler stops and takes no new tasks")
+)
+
+// InvalidError is an object that cannot be used; Field names the first bad field.
+type InvalidError struct {
+	Field, Detail string
+	Value         any
+}
+
+func (e *InvalidError) Error() string { return fmt.Sprintf("%s: %v: %s", e.Field, e.Value, e.Detail) }
+
+func jobKey(j *batchv1.Job) string { return store.Key(j.Namespace, j.Name) }
+
+func setCondition(conds []corev1.PodCondition, c corev1.PodCondition) []corev1.PodCondition {
+	for i := range conds {
+		if conds[i].Type == c.Type {
+			if conds[i].Status == c.Status {
+				c.LastTransitionTime = conds[i].LastTransitionTime
+			}
+			conds[i] = c
+			return conds
+		}
+	}
+	return append(conds, c)
+}
+
+// tenant is the number of a namespace, and whether it may ask.
+func (e *Engine) tenant(namespace string) (int, bool) {
+	for i, n := range e.cfg.Tenants {
+		if n == namespace {
+			return i, true
+		}
+	}
+	return 0, len(e.cfg.Tenants) == 0 || namespace == "default"
+}
+
+func (e *Engine) addNamespaces() {
+	for _, name := range append([]string{"default"}, e.cfg.Tenants...) {
+		if e.store.Get(store.Namespaces, "", name) != nil {
+			continue
+		}
+		ns := &corev1.Namespace{}
+		ns.Name, ns.UID = name, e.newUID()
+		ns.Labels = map[string]string{"kubernetes.io/metadata.name": name}
+		ns.Status.Phase = corev1.NamespaceActive
+		e.store.Put(store.Namespaces, ns)
+	}
+}
