The Kubernetes API over the engine: batch/v1 jobs, core v1 pods and nodes, lists and watches

Clients exist in every language, and lists with watches from a revision are what users asked for. Types are those of the published modules. A watch is a place in the history and holds no queue; an event is encoded once for all its watchers.

--- /dev/null
+++ b/internal/api/read.go
@@ -0,0 +1,386 @@
+package api
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+
+	batchv1 "k8s.io/api/batch/v1"
+	corev1 "k8s.io/api/core/v1"
+	apierrors "k8s.io/apimachinery/pkg/api/errors"
+	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
+	"k8s.io/apimachinery/pkg/runtime/schema"
+
+	"heathshed/internal/http1"
+	"heathshed/internal/store"
+)
+
+// encode writes an object with its kind.
+func encode(o store.Object) ([]byte, error) {
+	switch v := o.(type) {
+	case *batchv1.Job:
+		c := *v
+		c.TypeMeta = metav1.TypeMeta{Kind: "Job", APIVersion: "batch/v1"}
+		return json.Marshal(&c)
+	case *corev1.Pod:
+		c := *v
+		c.TypeMeta = metav1.TypeMeta{Kind: "Pod", APIVersion: "v1"}
+		return json.Marshal(&c)
+	case *corev1.Node:
+		c := *v
+		c.TypeMeta = metav1.TypeMeta{Kind: "Node", APIVersion: "v1"}
+		return json.Marshal(&c)
+	case *corev1.Namespace:
+		c := *v
+		c.TypeMeta = metav1.TypeMeta{Kind: "Namespace", APIVersion: "v1"}
+		return json.Marshal(&c)
+	}
+	return json.Marshal(o)
+}
+
+// encoded returns the text of a change's object, made once for all who read it.
+func encoded(c *store.Change) []byte {
+	if c.Cache == nil {
+		b, err := encode(c.Object)
+		if err != nil {
+			b = []byte("null")
+		}
+		c.Cache = b
+	}
+	return c.Cache
+}
+
+func (r *request) resource() schema.GroupResource {
+	return schema.GroupResource{Group: r.kind.gv.Group, Resource: r.kind.res.String()}
+}
+
+func (s *Server) get(r *request) (http1.Response, error) {
+	c := s.Store.Last(r.kind.res, r.namespace, r.name)
+	if c == nil {
+		return http1.Response{}, apierrors.NewNotFound(r.resource(), r.name)
+	}
+	return raw(200, encoded(c)), nil
+}
+
+// page is a continue token.
+type page struct {
+	Rev   int64  `json:"rv"`
+	After string `json:"after"`
+}
+
+func parseRev(text string) (int64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	v, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || v < 0 {
+		return 0, apierrors.NewBadRequest(fmt.Sprintf("invalid resource version %q", text))
+	}
+	return v, nil
+}
+
+func expired(words string) error { return apierrors.NewResourceExpired(words) }
+
+func tooLarge(rev, now int64) error {
+	err := apierrors.NewTimeoutError(fmt.Sprintf("Too large resource version: %d, current: %d", rev, now), 1)
+	err.ErrStatus.Details.Causes = []metav1.StatusCause{{Type: metav1.CauseTypeResourceVersionTooLarge,
+		Message: "Too large resource version"}}
+	return err
+}
+
+func (s *Server) list(r *request) (http1.Response, error) {
+	sel, err := r.selector()
+	if err != nil {
+		return http1.Response{}, err
+	}
+	if w := r.query.Get("watch"); w == "true" || w == "1" {
+		return s.watch(r, sel)
+	}
+	st := s.Store
+	limit := 0
+	if v := r.query.Get("limit"); v != "" {
+		if limit, err = strconv.Atoi(v); err != nil || limit < 0 {
+			return http1.Response{}, apierrors.NewBadRequest("limit: want a number of 0 or more")
+		}
+	}
+	if limit == 0 {
+		limit = s.MaxList
+	}
+	rev, err := parseRev(r.query.Get("resourceVersion"))
+	if err != nil {
+		return http1.Response{}, err
+	}
+	match := r.query.Get("resourceVersionMatch")
+	sn := st.Snapshot(r.kind.res)
+	after := ""
+	switch token := r.query.Get("continue"); {
+	case token != "":
+		if rev != 0 || match != "" {
+			return http1.Response{}, apierrors.NewBadRequest("specifying resource version is not allowed when using continue")
+		}
+		var p page
+		b, err := base64.RawURLEncoding.DecodeString(token)
+		if err != nil || json.Unmarshal(b, &p) != nil {
+			return http1.Response{}, apierrors.NewBadRequest("continue key is not valid")
+		}
+		if sn, err = st.Kept(s.now, r.kind.res, p.Rev); err != nil {
+			return http1.Response{}, expired("The provided continue parameter is too old to display a consistent list result")
+		}
+		after = p.After
+	case match != "" && match != "Exact" && match != "NotOlderThan":
+		return http1.Response{}, apierrors.NewBadRequest("resourceVersionMatch: want Exact or NotOlderThan")
+	case match != "" && r.query.Get("resourceVersion") == "":
+		return http1.Response{}, apierrors.NewBadRequest("resourceVersionMatch is forbidden unless resourceVersion is provided")
+	case match == "Exact":
+		if rev == 0 {
+			return http1.Response{}, apierrors.NewBadRequest(`resourceVersionMatch "Exact" is forbidden for resourceVersion "0"`)
+		}
+		if rev > st.Rev() {
+			return http1.Response{}, tooLarge(rev, st.Rev())
+		}
+		if sn, err = st.Kept(s.now, r.kind.res, rev); err != nil {
+			return http1.Response{}, expired(fmt.Sprintf("too old resource version: %d", rev))
+		}
+	case rev > st.Rev():
+		return http1.Response{}, tooLarge(rev, st.Rev())
+	}
+	return s.page(r, sel, sn, after, limit)
+}
+
+// page writes one page of a list. The objects' texts are those that watches use.
+func (s *Server) page(r *request, sel selector, sn store.Snapshot, after string, limit int) (http1.Response, error) {
+	items := []byte{}
+	n, more, last := 0, false, ""
+	left := int64(0)
+	sn.Scan(sel.namespace, after, func(key string, c *store.Change) bool {
+		if !sel.matches(c.Object) {
+			return true
+		}
+		if limit > 0 && n >= limit {
+			more = true
+			left++
+			// The rest is counted only where that costs nothing.
+			return sel.all && left < 1<<16
+		}
+		if n > 0 {
+			items = append(items, ',')
+		}
+		items = append(items, encoded(c)...)
+		n++
+		last = key
+		return true
+	})
+	m := metav1.ListMeta{ResourceVersion: strconv.FormatInt(sn.Rev, 10)}
+	if more {
+		token, _ := json.Marshal(page{sn.Rev, last})
+		m.Continue = base64.RawURLEncoding.EncodeToString(token)
+		if sel.all {
+			m.RemainingItemCount = &left
+		}
+		s.Store.Keep(s.now, sn)
+	}
+	head, err := json.Marshal(&m)
+	if err != nil {
+		return http1.Response{}, fmt.Errorf("encode list: %w", err)
+	}
+	out := make([]byte, 0, len(items)+len(head)+96)
+	out = fmt.Appendf(out, `{"kind":"%sList","apiVersion":"%s","metadata":`, r.kind.kind, r.kind.gv)
+	out = append(append(out, head...), `,"items":[`...)
+	out = append(append(out, items...), "]}\n"...)
+	return raw(200, out), nil
+}
+
+// watcher is one watch: a place in the history of a table. It holds no queue: what its reader has not taken stays in the
+// history, and one that falls behind what is kept is told so and cut off.
+type watcher struct {
+	s          *Server
+	sel        selector
+	rev        int64 // everything up to here was told
+	ends       float64
+	bookmarks  bool
+	nextMark   float64
+	initial    *store.Snapshot
+	after      string
+	endOfList  bool // a bookmark ends the initial events
+	sentEvents bool
+}
+
+const (
+	bookmarkEvery  = 60.0 // seconds
+	defaultTimeout = 1800.0
+	pullBatch      = 512
+)
+
+func (s *Server) watch(r *request, sel selector) (http1.Response, error) {
+	st := s.Store
+	q := r.query
+	bad := func(words string) (http1.Response, error) { return http1.Response{}, apierrors.NewBadRequest(words) }
+	rev, err := parseRev(q.Get("resourceVersion"))
+	if err != nil {
+		return http1.Response{}, err
+	}
+	if s.closing {
+		return http1.Response{}, unavailable("the scheduler stops")
+	}
+	w := &watcher{s: s, sel: sel, rev: rev, ends: s.now + defaultTimeout, bookmarks: q.Get("allowWatchBookmarks") == "true" ||
+		q.Get("allowWatchBookmarks") == "1", nextMark: s.now + bookmarkEvery}
+	if v := q.Get("timeoutSeconds"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 0 {
+			return bad("timeoutSeconds: want a number of 0 or more")
+		}
+		if n > 0 {
+			w.ends = s.now + float64(n)
+		}
+	}
+	initial := rev == 0
+	if v := q.Get("sendInitialEvents"); v != "" {
+		on := v == "true" || v == "1"
+		if q.Get("resourceVersionMatch") != "NotOlderThan" {
+			return bad("sendInitialEvents: resourceVersionMatch must be NotOlderThan")
+		}
+		if on && !w.bookmarks {
+			return bad("sendInitialEvents needs allowWatchBookmarks")
+		}
+		initial, w.endOfList = on, on
+		if !on && rev == 0 {
+			w.rev = st.Rev()
+		}
+	} else if q.Get("resourceVersionMatch") != "" {
+		return bad("resourceVersionMatch is forbidden for watch unless sendInitialEvents is provided")
+	}
+	if rev > st.Rev() {
+		return http1.Response{}, tooLarge(rev, st.Rev())
+	}
+	if initial {
+		sn := st.Snapshot(r.kind.res)
+		w.initial, w.rev = &sn, sn.Rev
+	} else if _, err := st.Since(r.kind.res, w.rev, 1); err != nil {
+		return http1.Response{}, expired(fmt.Sprintf("too old resource version: %d (%d)", rev, st.Rev()))
+	}
+	if s.watchers == nil {
+		s.watchers = map[*watcher]struct{}{}
+	}
+	s.watchers[w] = struct{}{}
+	return http1.Response{Status: 200, Header: []http1.Field{{Name: "Content-Type", Value: jsonType}}, Stream: w}, nil
+}
+
+// Watchers is the number of open watches.
+func (s *Server) Watchers() int { return len(s.watchers) }
+
+// Advance tells the time for time-outs and bookmarks of watches; pull the streams after it.
+func (s *Server) Advance(now float64) { s.now = now }
+
+// CloseWatches ends every watch at its next pull and lets no new one begin.
+func (s *Server) CloseWatches() { s.closing = true }
+
+// event appends one event.
+func event(b []byte, kind string, object []byte) []byte {
+	b = append(b, `{"type":"`...)
+	b = append(b, kind...)
+	b = append(b, `","object":`...)
+	b = append(b, object...)
+	return append(b, "}\n"...)
+}
+
+// Pull implements http1.Stream.
+func (w *watcher) Pull(b []byte, room int) ([]byte, bool) {
+	limit := len(b) + room
+	for w.initial != nil && len(b) < limit {
+		n := 0
+		w.initial.Scan(w.sel.namespace, w.after, func(key string, c *store.Change) bool {
+			w.after = key
+			n++
+			if w.sel.matches(c.Object) {
+				b = event(b, "ADDED", encoded(c))
+			}
+			return len(b) < limit
+		})
+		if len(b) < limit || n == 0 {
+			w.initial = nil
+			if w.endOfList {
+				b = w.mark(b, true)
+			}
+		}
+	}
+	st := w.s.Store
+	for w.initial == nil && len(b) < limit {
+		if w.rev >= st.Rev() {
+			break
+		}
+		changes, err := st.Since(w.sel.kind.res, w.rev, pullBatch)
+		if err != nil {
+			text := fmt.Sprintf("too old resource version: %d (%d)", w.rev, st.Rev())
+			if !errors.Is(err, store.ErrExpired) {
+				text = err.Error()
+			}
+			return event(b, "ERROR", statusOf(expired(text)).Body), true
+		}
+		if len(changes) == 0 {
+			w.rev = st.Rev()
+			break
+		}
+		for _, c := range changes {
+			b = w.tell(b, c)
+			w.rev = c.Rev
+			if len(b) >= limit {
+				break
+			}
+		}
+	}
+	switch {
+	case w.s.closing:
+		return b, true
+	case w.s.now >= w.ends:
+		if w.bookmarks && w.initial == nil {
+			b = w.mark(b, false)
+		}
+		return b, true
+	case w.bookmarks && w.initial == nil && w.s.now >= w.nextMark:
+		b = w.mark(b, false)
+	}
+	return b, false
+}
+
+// tell writes a change as its watcher sees it: an object that begins to match is added, one that no longer does is deleted.
+func (w *watcher) tell(b []byte, c *store.Change) []byte {
+	now := c.Op != store.Deleted && w.sel.matches(c.Object)
+	before := c.Prev != nil && w.sel.matches(c.Prev)
+	switch {
+	case now && before:
+		return event(b, "MODIFIED", encoded(c))
+	case now:
+		return event(b, "ADDED", encoded(c))
+	case before && c.Op == store.Deleted:
+		return event(b, "DELETED", encoded(c))
+	case before:
+		// The last state that matched, with the revision at which it left.
+		o := c.Prev.DeepCopyObject().(store.Object)
+		o.SetResourceVersion(strconv.FormatInt(c.Rev, 10))
+		text, err := encode(o)
+		if err != nil {
+			text = []byte("null")
+		}
+		return event(b, "DELETED", text)
+	}
+	return b
+}
+
+func (w *watcher) mark(b []byte, endOfList bool) []byte {
+	w.nextMark = w.s.now + bookmarkEvery
+	extra := ""
+	if endOfList {
+		extra = `,"annotations":{"k8s.io/initial-events-end":"true"}`
+	}
+	spec := ""
+	if w.sel.kind.res == store.Pods {
+		spec = `,"spec":{"containers":null},"status":{}`
+	}
+	return event(b, "BOOKMARK", fmt.Appendf(nil, `{"kind":"%s","apiVersion":"%s","metadata":{"resourceVersion":"%d"%s}%s}`,
+		w.sel.kind.kind, w.sel.kind.gv, w.rev, extra, spec))
+}
+
+// Stopped implements http1.Stream.
+func (w *watcher) Stopped() { delete(w.s.watchers, w) }
--- /dev/null
+++ b/internal/api/write.go
@@ -0,0 +1,497 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"mime"
+	"net/http"
+	"strings"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	batchv1 "k8s.io/api/batch/v1"
+	corev1 "k8s.io/api/core/v1"
+	policyv1 "k8s.io/api/policy/v1"
+	apierrors "k8s.io/apimachinery/pkg/api/errors"
+	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
+	"k8s.io/apimachinery/pkg/apis/meta/v1/validation"
+	"k8s.io/apimachinery/pkg/runtime"
+	"k8s.io/apimachinery/pkg/runtime/schema"
+	"k8s.io/apimachinery/pkg/types"
+	"k8s.io/apimachinery/pkg/util/strategicpatch"
+	utilvalidation "k8s.io/apimachinery/pkg/util/validation"
+	"k8s.io/apimachinery/pkg/util/validation/field"
+	kjson "sigs.k8s.io/json"
+
+	"heathshed/internal/http1"
+	"heathshed/internal/store"
+)
+
+// Unmarshaler is what the API's types offer for the binary encoding.
+type protoMessage interface{ Unmarshal([]byte) error }
+
+var protoMagic = []byte("k8s\x00")
+
+// decode reads a body into an object: JSON, or the binary encoding that client-go prefers.
+func (r *request) decode(body []byte, into any, wantKind string) error {
+	ct := r.Head.Header.Get("Content-Type")
+	t := jsonType
+	if ct != "" {
+		var err error
+		if t, _, err = mime.ParseMediaType(ct); err != nil {
+			return apierrors.NewBadRequest("content-type: " + err.Error())
+		}
+	}
+	switch t {
+	case jsonType, "text/json":
+		return r.decodeJSON(body, into, wantKind)
+	case "application/vnd.kubernetes.protobuf":
+		m, ok := into.(protoMessage)
+		if !ok || !bytes.HasPrefix(body, protoMagic) {
+			return apierrors.NewBadRequest("body is not in the encoding that content-type names")
+		}
+		var u runtime.Unknown
+		if err := u.Unmarshal(body[len(protoMagic):]); err != nil {
+			return apierrors.NewBadRequest("body: " + err.Error())
+		}
+		if err := checkKind(u.Kind, wantKind); err != nil {
+			return err
+		}
+		if err := m.Unmarshal(u.Raw); err != nil {
+			return apierrors.NewBadRequest("body: " + err.Error())
+		}
+		return nil
+	}
+	return &apierrors.StatusError{ErrStatus: metav1.Status{Status: metav1.StatusFailure, Code: http.StatusUnsupportedMediaType,
+		Reason: metav1.StatusReasonUnsupportedMediaType, Message: fmt.Sprintf("the body of the request was in an unknown format - "+
+			"accepted media types include: application/json, application/vnd.kubernetes.protobuf; not %s", t)}}
+}
+
+func checkKind(got, want string) error {
+	if got != "" && got != want {
+		return apierrors.NewBadRequest(fmt.Sprintf("the object in the body is a %s, want a %s", got, want))
+	}
+	return nil
+}
+
+// decodeJSON reads strictly: fields that are unknown or given twice are refused or warned of, as fieldValidation says.
+func (r *request) decodeJSON(body []byte, into any, wantKind string) error {
+	strict, err := kjson.UnmarshalStrict(body, into)
+	if err != nil {
+		return apierrors.NewBadRequest("body: " + err.Error())
+	}
+	var tm metav1.TypeMeta
+	if err := json.Unmarshal(body, &tm); err == nil {
+		if err := checkKind(tm.Kind, wantKind); err != nil {
+			return err
+		}
+	}
+	if len(strict) == 0 {
+		return nil
+	}
+	var words []string
+	for _, e := range strict {
+		words = append(words, e.Error())
+	}
+	switch v := r.query.Get("fieldValidation"); v {
+	case "Strict":
+		return apierrors.NewBadRequest("strict decoding error: " + strings.Join(words, ", "))
+	case "Ignore":
+	case "", "Warn":
+		r.warnings = append(r.warnings, words...)
+	default:
+		return apierrors.NewBadRequest("fieldValidation: want Ignore, Warn or Strict")
+	}
+	return nil
+}
+
+// dryRun reads the parameter of that name.
+func (r *request) dryRun(also []string) (bool, error) {
+	vals := append(r.query["dryRun"], also...)
+	for _, v := range vals {
+		if v != metav1.DryRunAll {
+			return false, apierrors.NewBadRequest("dryRun: want All")
+		}
+	}
+	return len(vals) > 0, nil
+}
+
+func (s *Server) createJob(r *request) (http1.Response, error) {
+	if s.Ready != nil {
+		if err := s.Ready(); err != nil {
+			return http1.Response{}, unavailable(err.Error())
+		}
+	}
+	if r.namespace == "" {
+		return http1.Response{}, s.notAllowed(r)
+	}
+	var j batchv1.Job
+	if err := r.decode(r.Body, &j, "Job"); err != nil {
+		return http1.Response{}, err
+	}
+	if j.Namespace == "" {
+		j.Namespace = r.namespace
+	}
+	if j.Namespace != r.namespace {
+		return http1.Response{}, apierrors.NewBadRequest("the namespace of the provided object does not match the namespace sent on the request")
+	}
+	if j.ResourceVersion != "" {
+		return http1.Response{}, apierrors.NewBadRequest("resourceVersion should not be set on objects to be created")
+	}
+	if s.Store.Get(store.Namespaces, "", r.namespace) == nil {
+		return http1.Response{}, apierrors.NewNotFound(schema.GroupResource{Resource: "namespaces"}, r.namespace)
+	}
+	defaultJob(&j)
+	if errs := validateJob(&j); len(errs) > 0 {
+		return http1.Response{}, apierrors.NewInvalid(schema.GroupKind{Group: "batch", Kind: "Job"}, j.Name, errs)
+	}
+	dry, err := r.dryRun(nil)
+	if err != nil {
+		return http1.Response{}, err
+	}
+	out, err := s.Engine.CreateJob(s.now, &j, dry)
+	if err != nil {
+		return http1.Response{}, r.fail(err, j.Name)
+	}
+	return s.object(201, out)
+}
+
+func (s *Server) object(status int, o store.Object) (http1.Response, error) {
+	b, err := encode(o)
+	if err != nil {
+		return http1.Response{}, fmt.Errorf("encode answer: %w", err)
+	}
+	return raw(status, b), nil
+}
+
+func ptr[T any](v T) *T { return &v }
+
+// defaultJob fills in what the specification says stands where nothing is given.
+func defaultJob(j *batchv1.Job) {
+	s := &j.Spec
+	if s.Parallelism == nil {
+		s.Parallelism = ptr(int32(1))
+		if s.Completions == nil {
+			s.Completions = ptr(int32(1))
+		}
+	}
+	if s.BackoffLimit == nil {
+		s.BackoffLimit = ptr(int32(6))
+	}
+	if s.CompletionMode == nil {
+		s.CompletionMode = ptr(batchv1.NonIndexedCompletion)
+	}
+	if s.Suspend == nil {
+		s.Suspend = ptr(false)
+	}
+	if s.PodReplacementPolicy == nil {
+		s.PodReplacementPolicy = ptr(batchv1.TerminatingOrFailed)
+	}
+	t := &s.Template.Spec
+	if t.DNSPolicy == "" {
+		t.DNSPolicy = corev1.DNSClusterFirst
+	}
+	if t.TerminationGracePeriodSeconds == nil {
+		t.TerminationGracePeriodSeconds = ptr(int64(30))
+	}
+	if t.SchedulerName == "" {
+		t.SchedulerName = "heathshed"
+	}
+	if t.SecurityContext == nil {
+		t.SecurityContext = &corev1.PodSecurityContext{}
+	}
+	for i := range t.Containers {
+		c := &t.Containers[i]
+		if c.TerminationMessagePath == "" {
+			c.TerminationMessagePath = corev1.TerminationMessagePathDefault
+		}
+		if c.TerminationMessagePolicy == "" {
+			c.TerminationMessagePolicy = corev1.TerminationMessageReadFile
+		}
+		if c.ImagePullPolicy == "" {
+			c.ImagePullPolicy = corev1.PullIfNotPresent
+		}
+	}
+}
+
+func validateJob(j *batchv1.Job) field.ErrorList {
+	var errs field.ErrorList
+	meta := field.NewPath("metadata")
+	switch {
+	case j.Name == "" && j.GenerateName == "":
+		errs = append(errs, field.Required(meta.Child("name"), "name or generateName is required"))
+	case j.Name != "":
+		for _, m := range utilvalidation.IsDNS1123Subdomain(j.Name) {
+			errs = append(errs, field.Invalid(meta.Child("name"), j.Name, m))
+		}
+	default:
+		for _, m := range utilvalidation.IsDNS1123Subdomain(j.GenerateName + "x") {
+			errs = append(errs, field.Invalid(meta.Child("generateName"), j.GenerateName, m))
+		}
+	}
+	errs = append(errs, validation.ValidateLabels(j.Labels, meta.Child("labels"))...)
+	spec := field.NewPath("spec")
+	nonNegative := func(p *field.Path, v *int32) {
+		if v != nil && *v < 0 {
+			errs = append(errs, field.Invalid(p, *v, "must be greater than or equal to 0"))
+		}
+	}
+	nonNegative(spec.Child("parallelism"), j.Spec.Parallelism)
+	nonNegative(spec.Child("completions"), j.Spec.Completions)
+	nonNegative(spec.Child("backoffLimit"), j.Spec.BackoffLimit)
+	nonNegative(spec.Child("ttlSecondsAfterFinished"), j.Spec.TTLSecondsAfterFinished)
+	if v := j.Spec.ActiveDeadlineSeconds; v != nil && *v < 0 {
+		errs = append(errs, field.Invalid(spec.Child("activeDeadlineSeconds"), *v, "must be greater than or equal to 0"))
+	}
+	if m := *j.Spec.CompletionMode; m != batchv1.NonIndexedCompletion && m != batchv1.IndexedCompletion {
+		errs = append(errs, field.NotSupported(spec.Child("completionMode"), m,
+			[]batchv1.CompletionMode{batchv1.NonIndexedCompletion, batchv1.IndexedCompletion}))
+	}
+	if j.Spec.ManualSelector != nil && *j.Spec.ManualSelector || j.Spec.Selector != nil {
+		errs = append(errs, field.Forbidden(spec.Child("selector"), "selectors are generated"))
+	}
+	tpl := spec.Child("template")
+	errs = append(errs, validation.ValidateLabels(j.Spec.Template.Labels, tpl.Child("metadata", "labels"))...)
+	p := tpl.Child("spec")
+	t := &j.Spec.Template.Spec
+	switch t.RestartPolicy {
+	case corev1.RestartPolicyNever, corev1.RestartPolicyOnFailure:
+	case "":
+		errs = append(errs, field.Required(p.Child("restartPolicy"), `valid values: "OnFailure", "Never"`))
+	default:
+		errs = append(errs, field.NotSupported(p.Child("restartPolicy"), t.RestartPolicy,
+			[]corev1.RestartPolicy{corev1.RestartPolicyOnFailure, corev1.RestartPolicyNever}))
+	}
+	if len(t.Containers) == 0 {
+		errs = append(errs, field.Required(p.Child("containers"), ""))
+	}
+	seen := map[string]bool{}
+	check := func(list []corev1.Container, name string) {
+		for i := range list {
+			c, at := &list[i], p.Child(name).Index(i)
+			if c.Name == "" {
+				errs = append(errs, field.Required(at.Child("name"), ""))
+			} else if seen[c.Name] {
+				errs = append(errs, field.Duplicate(at.Child("name"), c.Name))
+			} else {
+				for _, m := range utilvalidation.IsDNS1123Label(c.Name) {
+					errs = append(errs, field.Invalid(at.Child("name"), c.Name, m))
+				}
+			}
+			seen[c.Name] = true
+			if c.Image == "" {
+				errs = append(errs, field.Required(at.Child("image"), ""))
+			}
+			for _, set := range []struct {
+				name string
+				list corev1.ResourceList
+			}{{"requests", c.Resources.Requests}, {"limits", c.Resources.Limits}} {
+				for k, q := range set.list {
+					if q.Sign() < 0 {
+						errs = append(errs, field.Invalid(at.Child("resources", set.name).Key(string(k)), q.String(), "must be greater than or equal to 0"))
+					}
+				}
+			}
+			for k, q := range c.Resources.Requests {
+				if l, ok := c.Resources.Limits[k]; ok && q.Cmp(l) > 0 {
+					errs = append(errs, field.Invalid(at.Child("resources", "requests"), q.String(),
+						fmt.Sprintf("must be less than or equal to %s limit of %s", k, l.String())))
+				}
+			}
+		}
+	}
+	check(t.Containers, "containers")
+	check(t.InitContainers, "initContainers")
+	return errs
+}
+
+// update serves PUT and PATCH of Jobs and Nodes.
+func (s *Server) update(r *request) (http1.Response, error) {
+	cur := s.Store.Get(r.kind.res, r.namespace, r.name)
+	if cur == nil {
+		return http1.Response{}, apierrors.NewNotFound(r.resource(), r.name)
+	}
+	var next store.Object = &batchv1.Job{}
+	if r.kind.res == store.Nodes {
+		next = &corev1.Node{}
+	}
+	if r.Head.Method == "PUT" {
+		if err := r.decode(r.Body, next, r.kind.kind); err != nil {
+			return http1.Response{}, err
+		}
+	} else {
+		body, err := s.patched(r, cur, next)
+		if err != nil {
+			return http1.Response{}, err
+		}
+		if err := r.decodeJSON(body, next, r.kind.kind); err != nil {
+			return http1.Response{}, err
+		}
+	}
+	if next.GetName() != r.name || next.GetNamespace() != r.namespace {
+		return http1.Response{}, apierrors.NewBadRequest("the name or namespace of the object does not match the request")
+	}
+	dry, err := r.dryRun(nil)
+	if err != nil {
+		return http1.Response{}, err
+	}
+	var out store.Object
+	if j, ok := next.(*batchv1.Job); ok {
+		defaultJob(j)
+		out, err = s.Engine.UpdateJob(s.now, j, dry)
+	} else {
+		out, err = s.Engine.UpdateNode(s.now, next.(*corev1.Node), dry)
+	}
+	if err != nil {
+		return http1.Response{}, r.fail(err, r.name)
+	}
+	return s.object(200, out)
+}
+
+// patched applies the body to the present object.
+func (s *Server) patched(r *request, cur, of store.Object) ([]byte, error) {
+	was, err := encode(cur)
+	if err != nil {
+		return nil, fmt.Errorf("encode present object: %w", err)
+	}
+	t, _, _ := mime.ParseMediaType(r.Head.Header.Get("Content-Type"))
+	var out []byte
+	switch types.PatchType(t) {
+	case types.MergePatchType:
+		out, err = jsonpatch.MergePatch(was, r.Body)
+	case types.StrategicMergePatchType:
+		out, err = strategicpatch.StrategicMergePatch(was, r.Body, of)
+	case types.JSONPatchType:
+		var p jsonpatch.Patch
+		if p, err = jsonpatch.DecodePatch(r.Body); err == nil {
+			if len(p) > 1000 {
+				return nil, apierrors.NewRequestEntityTooLargeError("a JSON patch may have 1000 operations")
+			}
+			if out, err = p.Apply(was); err != nil {
+				return nil, apierrors.NewInvalid(schema.GroupKind{Group: r.kind.gv.Group, Kind: r.kind.kind}, r.name,
+					field.ErrorList{field.Invalid(field.NewPath("patch"), string(r.Body), err.Error())})
+			}
+		}
+	default:
+		return nil, &apierrors.StatusError{ErrStatus: metav1.Status{Status: metav1.StatusFailure, Code: 415,
+			Reason: metav1.StatusReasonUnsupportedMediaType, Message: fmt.Sprintf("content-type %q: want %s, %s or %s", t,
+				types.JSONPatchType, types.MergePatchType, types.StrategicMergePatchType)}}
+	}
+	if err != nil {
+		return nil, apierrors.NewBadRequest("patch: " + err.Error())
+	}
+	return out, nil
+}
+
+// deleteOptions reads the options from the body and the query.
+func (r *request) deleteOptions() (metav1.DeleteOptions, error) {
+	var o metav1.DeleteOptions
+	if len(bytes.TrimSpace(r.Body)) > 0 {
+		if err := r.decode(r.Body, &o, "DeleteOptions"); err != nil {
+			return o, err
+		}
+	}
+	if v := r.query.Get("propagationPolicy"); v != "" {
+		o.PropagationPolicy = ptr(metav1.DeletionPropagation(v))
+	}
+	if p := o.PropagationPolicy; p != nil {
+		switch *p {
+		case metav1.DeletePropagationOrphan, metav1.DeletePropagationBackground, metav1.DeletePropagationForeground:
+		default:
+			return o, apierrors.NewBadRequest(fmt.Sprintf("propagationPolicy: %q is not known", *p))
+		}
+	}
+	return o, nil
+}
+
+// remove serves DELETE of one object or of all that a list would show.
+func (s *Server) remove(r *request) (http1.Response, error) {
+	o, err := r.deleteOptions()
+	if err != nil {
+		return http1.Response{}, err
+	}
+	dry, err := r.dryRun(o.DryRun)
+	if err != nil {
+		return http1.Response{}, err
+	}
+	if r.name != "" {
+		cur := s.Store.Get(r.kind.res, r.namespace, r.name)
+		if cur == nil {
+			return http1.Response{}, apierrors.NewNotFound(r.resource(), r.name)
+		}
+		if dry {
+			return s.object(200, cur)
+		}
+		out, err := s.removeOne(r, cur, &o)
+		if err != nil {
+			return http1.Response{}, r.fail(err, r.name)
+		}
+		if j, ok := out.(*batchv1.Job); ok && s.Store.Get(store.Jobs, j.Namespace, j.Name) == nil {
+			return respond(200, &metav1.Status{TypeMeta: metav1.TypeMeta{Kind: "Status", APIVersion: "v1"},
+				Status: metav1.StatusSuccess, Details: &metav1.StatusDetails{Name: j.Name, Group: "batch", Kind: "jobs", UID: j.UID}})
+		}
+		return s.object(200, out)
+	}
+	sel, err := r.selector()
+	if err != nil {
+		return http1.Response{}, err
+	}
+	resp, err := s.page(r, sel, s.Store.Snapshot(r.kind.res), "", 0)
+	if err != nil || dry {
+		return resp, err
+	}
+	var hits []store.Object
+	s.Store.Snapshot(r.kind.res).Scan(sel.namespace, "", func(_ string, c *store.Change) bool {
+		if sel.matches(c.Object) {
+			hits = append(hits, c.Object)
+		}
+		return true
+	})
+	o.Preconditions = nil
+	for _, h := range hits {
+		// One that went with another, such as a Pod with its Job, is gone already.
+		if _, err := s.removeOne(r, h, &o); err != nil && s.Store.Get(r.kind.res, h.GetNamespace(), h.GetName()) != nil {
+			return http1.Response{}, r.fail(err, h.GetName())
+		}
+	}
+	return resp, nil
+}
+
+func (s *Server) removeOne(r *request, o store.Object, opt *metav1.DeleteOptions) (store.Object, error) {
+	var uid types.UID
+	rev := ""
+	if p := opt.Preconditions; p != nil {
+		if p.UID != nil {
+			uid = *p.UID
+		}
+		if p.ResourceVersion != nil {
+			rev = *p.ResourceVersion
+		}
+	}
+	if r.kind.res == store.Jobs {
+		how := metav1.DeletePropagationBackground
+		if opt.PropagationPolicy != nil {
+			how = *opt.PropagationPolicy
+		}
+		return s.Engine.DeleteJob(s.now, o.GetNamespace(), o.GetName(), uid, rev, how)
+	}
+	return s.Engine.DeletePod(s.now, o.GetNamespace(), o.GetName(), uid, rev)
+}
+
+func (s *Server) evict(r *request) (http1.Response, error) {
+	var ev policyv1.Eviction
+	if err := r.decode(r.Body, &ev, "Eviction"); err != nil {
+		return http1.Response{}, err
+	}
+	if ev.Name != "" && ev.Name != r.name {
+		return http1.Response{}, apierrors.NewBadRequest("name in URL does not match name in Eviction object")
+	}
+	var uid types.UID
+	if d := ev.DeleteOptions; d != nil && d.Preconditions != nil && d.Preconditions.UID != nil {
+		uid = *d.Preconditions.UID
+	}
+	if err := s.Engine.EvictPod(s.now, r.namespace, r.name, uid); err != nil {
+		return http1.Response{}, r.fail(err, r.name)
+	}
+	return respond(201, &metav1.Status{TypeMeta: metav1.TypeMeta{Kind: "Status", APIVersion: "v1"}, Status: metav1.StatusSuccess, Code: 201})
+}
