The scheduler on sockets: API in front, machines and inventory behind

Joins the engine to the loop: offers as POST of Pods, stops as DELETE, each machine's Pods and the inventory followed by list and watch with resume. It translates only.

--- /dev/null
+++ b/internal/kclient/reflector.go
@@ -0,0 +1,264 @@
+//go:build linux
+
+// Package kclient follows a collection of a Kubernetes-style API over the event loop: it lists, watches from the list's
+// revision, resumes, and lists anew when the history is gone.
+package kclient
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/url"
+
+	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
+
+	"heathshed/internal/backoff"
+	"heathshed/internal/http1"
+	"heathshed/internal/httpc"
+	"heathshed/internal/loop"
+)
+
+// Reflector follows one collection. Set the fields, then Start. Callbacks run on the loop.
+type Reflector struct {
+	Loop   *loop.Loop
+	Client *httpc.Client
+	Path   string // such as /api/v1/nodes
+	Labels string // label selector
+	Rand   *rand.Rand
+	Retry  backoff.Backoff
+	// ListWithin bounds a list in seconds, Quiet how long a watch may bring no byte before it counts as broken; 0 is no bound.
+	ListWithin, Quiet float64
+
+	// Listed gets a whole list; Event a change of one object (ADDED, MODIFIED or DELETED). head carries the answer's fields.
+	Listed func(head *http1.Head, rev string, items []json.RawMessage)
+	Event  func(kind string, object json.RawMessage)
+	// Lost is called whenever list or watch fails; it goes on by itself.
+	Lost func(err error)
+	// Lists and Resumes count.
+	Lists, Resumes uint64
+
+	rev     string
+	call    *httpc.Call
+	timer   *loop.Timer
+	quiet   *loop.Timer
+	stopped bool
+	line    []byte
+	failed  error
+}
+
+const maxLine = 8 << 20
+
+// Start begins with a list.
+func (r *Reflector) Start() { r.list() }
+
+// Stop ends it; no callback follows.
+func (r *Reflector) Stop() {
+	if r.stopped {
+		return
+	}
+	r.stopped = true
+	r.timer.Stop()
+	r.quiet.Stop()
+	if r.call != nil {
+		r.call.Cancel()
+	}
+}
+
+// Relist drops the watch and lists anew.
+func (r *Reflector) Relist() {
+	if r.stopped {
+		return
+	}
+	r.rev = ""
+	r.timer.Stop()
+	if c := r.call; c != nil {
+		r.call = nil
+		c.Cancel()
+	}
+	r.list()
+}
+
+func (r *Reflector) target(q url.Values) string {
+	if r.Labels != "" {
+		q.Set("labelSelector", r.Labels)
+	}
+	return r.Path + "?" + q.Encode()
+}
+
+func (r *Reflector) again(err error) {
+	if r.stopped {
+		return
+	}
+	r.Lost(err)
+	if r.stopped {
+		return
+	}
+	r.timer = r.Loop.After(r.Retry.Next(r.Rand.Float64()), func() {
+		if r.rev != "" {
+			r.Resumes++
+			r.watch()
+		} else {
+			r.list()
+		}
+	})
+}
+
+func (r *Reflector) list() {
+	r.Lists++
+	call := &httpc.Call{}
+	call.Done = func(h *http1.Head, body []byte, err error) {
+		if r.stopped || r.call != call {
+			return
+		}
+		r.call = nil
+		if err == nil && h.Status != 200 {
+			err = statusError(h.Status, body)
+		}
+		var l struct {
+			Metadata metav1.ListMeta   `json:"metadata"`
+			Items    []json.RawMessage `json:"items"`
+		}
+		if err == nil {
+			err = json.Unmarshal(body, &l)
+		}
+		if err == nil && l.Metadata.ResourceVersion == "" {
+			err = errors.New("list without resourceVersion")
+		}
+		if err != nil {
+			r.again(fmt.Errorf("list %s%s: %w", r.Client.Addr(), r.Path, err))
+			return
+		}
+		r.rev = l.Metadata.ResourceVersion
+		r.Listed(h, r.rev, l.Items)
+		if !r.stopped && r.call == nil {
+			r.watch()
+		}
+	}
+	r.call = call
+	r.Client.Do("GET", r.target(url.Values{}), []http1.Field{{Name: "Accept", Value: "application/json"}}, nil, r.ListWithin, call)
+}
+
+func statusError(code int, body []byte) error {
+	var st metav1.Status
+	if json.Unmarshal(body, &st) == nil && st.Message != "" {
+		return fmt.Errorf("status %d: %s", code, st.Message)
+	}
+	return fmt.Errorf("status %d", code)
+}
+
+func (r *Reflector) watch() {
+	r.line, r.failed = nil, nil
+	call := &httpc.Call{}
+	alive := func() {
+		r.quiet.Stop()
+		if r.Quiet > 0 {
+			r.quiet = r.Loop.After(r.Quiet, func() { call.Cancel() })
+		}
+	}
+	call.Started = func(*http1.Head) { alive() }
+	call.Data = func(b []byte) {
+		if r.stopped || r.call != call {
+			return
+		}
+		alive()
+		r.Retry.Reset()
+		r.feed(b)
+	}
+	call.Done = func(h *http1.Head, body []byte, err error) {
+		r.quiet.Stop()
+		if r.stopped || r.call != call {
+			return
+		}
+		r.call = nil
+		switch {
+		case r.failed != nil:
+			err = r.failed
+		case err == nil && h.Status == 410:
+			r.rev = ""
+			err = statusError(h.Status, body)
+		case err == nil && h.Status != 200:
+			err = statusError(h.Status, body)
+		case err == nil:
+			// The server ended it in order: go on from where it stopped.
+			r.Resumes++
+			r.watch()
+			return
+		}
+		r.again(fmt.Errorf("watch %s%s: %w", r.Client.Addr(), r.Path, err))
+	}
+	r.call = call
+	r.Client.Do("GET", r.target(url.Values{"watch": {"true"}, "resourceVersion": {r.rev}, "allowWatchBookmarks": {"true"}}),
+		[]http1.Field{{Name: "Accept", Value: "application/json"}}, nil, 0, call)
+}
+
+// feed cuts the stream into lines, one event each.
+func (r *Reflector) feed(b []byte) {
+	call := r.call
+	for len(b) > 0 && r.failed == nil {
+		i := bytes.IndexByte(b, '\n')
+		if i < 0 {
+			if r.line = append(r.line, b...); len(r.line) > maxLine {
+				r.fail(errors.New("event over the limit"))
+			}
+			return
+		}
+		line := b[:i]
+		if len(r.line) > 0 {
+			line = append(r.line, line...)
+			r.line = nil
+		}
+		b = b[i+1:]
+		r.event(line)
+		if r.stopped || r.call != call {
+			return
+		}
+	}
+}
+
+func (r *Reflector) fail(err error) {
+	r.failed = err
+	r.call.Cancel()
+}
+
+func (r *Reflector) event(line []byte) {
+	var ev struct {
+		Type   string          `json:"type"`
+		Object json.RawMessage `json:"object"`
+	}
+	if err := json.Unmarshal(line, &ev); err != nil {
+		r.fail(fmt.Errorf("event: %w", err))
+		return
+	}
+	var o struct {
+		metav1.Status
+		Metadata metav1.ObjectMeta `json:"metadata"`
+	}
+	if ev.Type == "ERROR" {
+		err := json.Unmarshal(ev.Object, &o.Status)
+		if err == nil && (o.Status.Code == 410 || o.Status.Reason == metav1.StatusReasonExpired) {
+			r.rev = ""
+		}
+		r.fail(fmt.Errorf("error event: %s", o.Status.Message))
+		return
+	}
+	var m struct {
+		Metadata struct {
+			ResourceVersion string `json:"resourceVersion"`
+		} `json:"metadata"`
+	}
+	if err := json.Unmarshal(ev.Object, &m); err != nil {
+		r.fail(fmt.Errorf("event object: %w", err))
+		return
+	}
+	switch ev.Type {
+	case "ADDED", "MODIFIED", "DELETED":
+		r.rev = m.Metadata.ResourceVersion
+		r.Event(ev.Type, ev.Object)
+	case "BOOKMARK":
+		r.rev = m.Metadata.ResourceVersion
+	default:
+		r.fail(fmt.Errorf("event type %q is not known", ev.Type))
+	}
+}
--- /dev/null
+++ b/internal/scheduler/metrics.go
@@ -0,0 +1,88 @@
+//go:build linux
+
+package scheduler
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+
+	"heathshed/internal/store"
+)
+
+// metrics are the scheduler's figures in Prometheus form. They are read and written on the loop.
+type metrics struct {
+	reg      *prometheus.Registry
+	requests *prometheus.CounterVec
+}
+
+func newMetrics(s *Scheduler) *metrics {
+	m := &metrics{reg: prometheus.NewRegistry()}
+	m.requests = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "heathshed", Name: "api_requests_total",
+		Help: "API requests by method and status."}, []string{"method", "code"})
+	m.reg.MustRegister(m.requests)
+	counter := func(name, help string, f func() uint64) {
+		m.reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "heathshed", Name: name, Help: help},
+			func() float64 { return float64(f()) }))
+	}
+	gauge := func(name, help string, f func() float64) {
+		m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "heathshed", Name: name, Help: help}, f))
+	}
+	st := &s.e.Stats
+	for _, c := range []struct {
+		name, help string
+		v          *uint64
+	}{
+		{"asks_total", "Asks brought to the placer.", &st.Asks},
+		{"asked_again_total", "Asks after the first of a task.", &st.AskedAgain},
+		{"offers_total", "Offers sent to machines.", &st.Offers},
+		{"offers_accepted_total", "Offers that machines accepted.", &st.Accepted},
+		{"offers_refused_total", "Offers that machines refused.", &st.Refusals},
+		{"offers_in_doubt_total", "Offers that ended without word whether they were accepted.", &st.Doubts},
+		{"adopted_total", "Doubtful attempts found running.", &st.Adopted},
+		{"taken_over_total", "Tasks found on machines after a restart.", &st.TakenOver},
+		{"stops_total", "Orders to stop sent to machines.", &st.Stops},
+		{"tasks_placed_total", "Tasks settled as placed.", &st.Placed},
+		{"tasks_refused_total", "Tasks settled as refused.", &st.Refused},
+		{"tasks_failed_total", "Tasks settled as failed.", &st.Failed},
+		{"tasks_lost_total", "Placed tasks lost with their machine.", &st.LostTasks},
+		{"tasks_evicted_total", "Placed tasks evicted for memory.", &st.EvictedTasks},
+		{"tasks_moved_total", "Placed tasks moved or evicted by order.", &st.MovedTasks},
+		{"jobs_created_total", "Jobs taken.", &st.JobsCreated},
+		{"jobs_finished_total", "Jobs finished.", &st.JobsFinished},
+		{"jobs_turned_away_total", "Jobs turned away because too many tasks are held.", &st.JobsTurnedAway},
+	} {
+		v := c.v
+		counter(c.name, c.help, func() uint64 { return *v })
+	}
+	gauge("tasks_open", "Tasks without a final answer.", func() float64 { return float64(s.e.Open()) })
+	gauge("pods", "Pods held.", func() float64 { return float64(s.e.Store().Len(store.Pods)) })
+	gauge("machines_ready", "Machines that the inventory lists as ready or draining.", func() float64 { n, _ := s.e.Heard(); return float64(n) })
+	gauge("machines_heard", "Machines whose tasks are being watched.", func() float64 { _, n := s.e.Heard(); return float64(n) })
+	gauge("watches", "Open watches.", func() float64 { return float64(s.api.Watchers()) })
+	gauge("connections", "Open API connections.", func() float64 { return float64(s.http.Conns()) })
+	gauge("revision", "Revision of the last change.", func() float64 { return float64(s.e.Store().Rev()) })
+	counter("bad_requests_total", "Requests that could not be read.", func() uint64 { return s.http.BadRequests })
+	counter("loop_turns_total", "Turns of the event loop.", func() uint64 { return s.l.Iterations })
+	return m
+}
+
+func (m *metrics) request(method string, code int) {
+	m.requests.WithLabelValues(method, strconv.Itoa(code)).Inc()
+}
+
+func (m *metrics) text() []byte {
+	var b bytes.Buffer
+	families, err := m.reg.Gather()
+	if err != nil {
+		return []byte("# " + err.Error() + "\n")
+	}
+	for _, f := range families {
+		if _, err := expfmt.MetricFamilyToText(&b, f); err != nil {
+			break
+		}
+	}
+	return b.Bytes()
+}
