--- /dev/null
+++ b/internal/standin/node.go
@@ -0,0 +1,553 @@
+//go:build linux
+
+// Package standin has the stand-ins that schedulers are tried against: machines that keep to the limits of package machine and
+// can be made faulty while they run, and an inventory that is late and can be cut off. They speak the same REST conventions as
+// the scheduler.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/url"
+	"strconv"
+	"strings"
+
+	corev1 "k8s.io/api/core/v1"
+	"k8s.io/apimachinery/pkg/api/resource"
+	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
+	"k8s.io/apimachinery/pkg/types"
+
+	"heathshed/internal/api"
+	"heathshed/internal/http1"
+	"heathshed/internal/httpc"
+	"heathshed/internal/httpd"
+	"heathshed/internal/loop"
+	"heathshed/internal/machine"
+	"heathshed/internal/meta"
+	"heathshed/internal/store"
+)
+
+// NodeOptions describe a stand-in machine.
+type NodeOptions struct {
+	Name, Zone, Rack, Kind string
+	Listen                 string // 127.0.0.1:0 chooses a port, kept over crashes
+	Inventory              string // address; "" reports nowhere
+	Beat                   float64
+	Machine                machine.Config
+	Priorities             map[string]int     // of classes
+	Lives                  map[string]float64 // seconds that tasks of a class run on average, where they name no lifetime
+	// Tap, if set, is told of each offer as it arrives and of what became of it.
+	Tap func(Tap)
+}
+
+// Tap is one thing that passed at a machine.
+type Tap struct {
+	At        float64 `json:"at"`
+	Node      string  `json:"node"`
+	What      string  `json:"what"` // up, offer, accept, refuse, start, end, stop, drain, undrain, crash, fall
+	Scheduler string  `json:"scheduler,omitempty"`
+	UID       string  `json:"uid,omitempty"`
+	Attempt   int     `json:"attempt,omitempty"`
+	Class     string  `json:"class,omitempty"`
+	Service   string  `json:"service,omitempty"`
+	Rack      string  `json:"rack,omitempty"`
+	Reason    string  `json:"reason,omitempty"`
+}
+
+// Faults are what a machine can be made to do wrong, each for so many seconds from now; 0 ends it. Class bounds Error to one
+// class. Crash takes the machine down for that long, with all it holds; it comes back cold. Drain is a state.
+type Faults struct {
+	Refuse     float64 `json:"refuse,omitempty"`
+	Stall      float64 `json:"stall,omitempty"`
+	LoseAnswer float64 `json:"loseAnswer,omitempty"` // accepts, and breaks the connection in place of the answer
+	Reset      float64 `json:"reset,omitempty"`      // breaks the connection before looking at the offer
+	Trickle    float64 `json:"trickle,omitempty"`    // holds each answer back for a second
+	Error      float64 `json:"error,omitempty"`
+	Class      string  `json:"class,omitempty"`
+	Crash      float64 `json:"crash,omitempty"`
+	Drain      *bool   `json:"drain,omitempty"`
+	// Cut makes the machine unreachable from schedulers while its tasks run on.
+	Cut float64 `json:"cut,omitempty"`
+}
+
+// Node is a stand-in machine on a socket.
+type Node struct {
+	o       NodeOptions
+	l       *loop.Loop
+	m       *machine.Machine
+	http    *httpd.Server
+	api     *api.Server
+	st      *store.Store
+	inv     *httpc.Client
+	addr    string
+	boot    string
+	lives   int
+	started float64
+	timer   *loop.Timer
+	pending map[string][]*httpd.Exchange // by uid and attempt
+	load    string
+	shown   int64
+	seed    uint64
+	stopped bool
+
+	refuse, lose, reset, trickle, errs, cutUntil float64
+	errClass                                     string
+}
+
+// StartNode puts a machine on a socket and reports it to the inventory.
+func StartNode(l *loop.Loop, o NodeOptions) (*Node, error) {
+	if o.Beat <= 0 {
+		o.Beat = 0.5
+	}
+	n := &Node{o: o, l: l, addr: o.Listen, seed: o.Machine.Seed}
+	if err := n.up(o.Machine.Cold); err != nil {
+		return nil, err
+	}
+	if o.Inventory != "" {
+		n.inv = httpc.New(l, o.Inventory)
+		n.inv.MaxConns = 1
+	}
+	n.beat()
+	return n, nil
+}
+
+// Addr is where the machine listens, Name its name.
+func (n *Node) Addr() string { return n.addr }
+
+// Name is the machine's name.
+func (n *Node) Name() string { return n.o.Name }
+
+// Machine is the model behind the socket, nil while it is down.
+func (n *Node) Machine() *machine.Machine { return n.m }
+
+// up begins a life.
+func (n *Node) up(cold bool) error {
+	now := n.l.Now()
+	n.lives++
+	cfg := n.o.Machine
+	cfg.Cold, cfg.Seed = cold, n.seed+uint64(n.lives)*7919
+	n.m = machine.New(cfg, now)
+	n.boot = fmt.Sprintf("%s-%d-%d", n.o.Name, int64(now*1e3), n.lives)
+	n.started = 0
+	if cold {
+		n.started = now
+	}
+	n.pending = map[string][]*httpd.Exchange{}
+	n.st = store.New(int64(now*1e6), 5000)
+	n.api = &api.Server{Store: n.st, Version: "standin"}
+	n.m.Refuse = func(o *machine.Offer) machine.Reason {
+		if n.l.Now() < n.refuse {
+			return machine.NoCores
+		}
+		return machine.None
+	}
+	opt := httpd.DefaultOptions()
+	opt.IdleWithin = 600
+	srv, err := httpd.Listen(n.l, n.addr, opt, n.serve)
+	if err != nil {
+		return fmt.Errorf("machine %s: %w", n.o.Name, err)
+	}
+	n.http, n.addr = srv, srv.Addr()
+	n.tap(Tap{What: "up", Reason: map[bool]string{true: "cold", false: "warm"}[cold]})
+	n.after()
+	return nil
+}
+
+func (n *Node) tap(t Tap) {
+	if n.o.Tap != nil {
+		t.At, t.Node, t.Rack = n.l.Now(), n.o.Name, n.o.Rack
+		n.o.Tap(t)
+	}
+}
+
+// beat reports to the inventory, again and again.
+func (n *Node) beat() {
+	if n.stopped {
+		return
+	}
+	n.l.After(n.o.Beat, n.beat)
+	if n.m == nil {
+		return
+	}
+	n.m.Tick(n.l.Now())
+	n.measure()
+	n.after()
+	if n.inv == nil {
+		return
+	}
+	body, err := json.Marshal(n.Object())
+	if err != nil {
+		return
+	}
+	n.inv.Do("PUT", "/api/v1/nodes/"+url.PathEscape(n.o.Name)+"/status", []http1.Field{{Name: "Content-Type", Value: "application/json"}},
+		body, 2, &httpc.Call{Done: func(*http1.Head, []byte, error) {}})
+}
+
+func (n *Node) measure() {
+	c, m := n.m.Unused()
+	n.load = meta.FormatDict("free-cores", c, "free-memory", m, "busy", n.m.Busy(), "queue", float64(n.m.Waiting()))
+}
+
+// Object is the machine as the inventory shows it.
+func (n *Node) Object() *corev1.Node {
+	o := &corev1.Node{TypeMeta: metav1.TypeMeta{Kind: "Node", APIVersion: "v1"}}
+	o.Name = n.o.Name
+	o.UID = types.UID("node-" + n.o.Name)
+	o.Labels = map[string]string{meta.Zone: n.o.Zone, meta.Rack: n.o.Rack, meta.Kind: n.o.Kind, corev1.LabelHostname: n.o.Name}
+	c, m := n.m.Free()
+	o.Annotations = map[string]string{meta.Free: meta.FormatDict("cores", c, "memory", m)}
+	if n.started > 0 {
+		o.Annotations[meta.Started] = meta.Instant(n.started)
+	}
+	o.Spec.Unschedulable = n.m.Draining()
+	cfg := n.m.Config()
+	o.Status.Capacity = corev1.ResourceList{corev1.ResourceCPU: *resource.NewMilliQuantity(int64(cfg.Cores*1000), resource.DecimalSI),
+		corev1.ResourceMemory: *resource.NewQuantity(int64(cfg.Memory*meta.Gibibyte), resource.BinarySI)}
+	o.Status.Allocatable = o.Status.Capacity
+	o.Status.Conditions = []corev1.NodeCondition{{Type: corev1.NodeReady, Status: corev1.ConditionTrue, Reason: "StandInReady"}}
+	host, port, _ := strings.Cut(n.addr, ":")
+	o.Status.Addresses = []corev1.NodeAddress{{Type: corev1.NodeInternalIP, Address: host}}
+	p, _ := strconv.Atoi(port)
+	o.Status.DaemonEndpoints.KubeletEndpoint.Port = int32(p)
+	o.Status.NodeInfo.BootID = n.boot
+	return o
+}
+
+// after sends what the model says and sets its next wake-up.
+func (n *Node) after() {
+	if n.m == nil {
+		return
+	}
+	for {
+		effects := n.m.Ready()
+		if len(effects) == 0 {
+			break
+		}
+		for i := range effects {
+			if n.m == nil {
+				return
+			}
+			n.effect(&effects[i])
+		}
+	}
+	if n.m == nil {
+		return
+	}
+	n.timer.Stop()
+	if at := n.m.NextWake(); !math.IsInf(at, 1) {
+		n.timer = n.l.At(at, func() {
+			if n.m != nil {
+				n.m.Tick(n.l.Now())
+				n.after()
+			}
+		})
+	}
+	if rev := n.st.Rev(); rev != n.shown {
+		n.shown = rev
+		n.api.Advance(n.l.Now())
+		n.http.Kick()
+	}
+}
+
+func key(uid string, attempt int) string { return uid + "/" + strconv.Itoa(attempt) }
+
+var phases = map[machine.Phase]corev1.PodPhase{machine.Accepted: corev1.PodPending, machine.Running: corev1.PodRunning,
+	machine.Succeeded: corev1.PodSucceeded, machine.Ended: corev1.PodFailed}
+
+var reasons = map[machine.Reason]string{machine.NoCores: meta.OutOfCPU, machine.NoMemory: meta.OutOfMemory, machine.TooMany: meta.TooMany,
+	machine.NotHere: meta.NotHere, machine.Evicted: meta.Evicted, machine.PushedOut: meta.Preempted, machine.SentAway: meta.SentAway,
+	machine.Stopped: meta.Stopped, machine.NeverRan: meta.NeverRan}
+
+func (n *Node) effect(x *machine.Effect) {
+	switch x.Kind {
+	case machine.Answered:
+		k := key(x.UID, x.Attempt)
+		waiting := n.pending[k]
+		delete(n.pending, k)
+		for _, ex := range waiting {
+			n.answer(ex, x)
+		}
+	case machine.Changed:
+		t := x.Task
+		p := n.show(t)
+		n.st.Put(store.Pods, p)
+		tap := Tap{UID: t.UID, Attempt: t.Attempt, Scheduler: p.Labels[meta.Scheduler], Class: p.Labels[meta.Class], Service: t.Service,
+			Reason: reasons[t.Reason]}
+		switch t.Phase {
+		case machine.Accepted:
+			tap.What = "accept"
+		case machine.Running:
+			tap.What = "start"
+		default:
+			tap.What = "end"
+		}
+		n.tap(tap)
+	case machine.Forgotten:
+		p := x.Task.Payload.(*corev1.Pod)
+		n.st.Delete(store.Pods, p.Namespace, p.Name)
+	case machine.Fell:
+		n.tap(Tap{What: "fall"})
+		n.down(30)
+	}
+}
+
+// show is the Pod of a task as it stands.
+func (n *Node) show(t *machine.Task) *corev1.Pod {
+	p := t.Payload.(*corev1.Pod).DeepCopy()
+	p.Spec.NodeName = n.o.Name
+	p.Annotations[meta.AttemptAnnotation] = strconv.Itoa(t.Attempt)
+	if t.Phase == machine.Running {
+		p.Annotations[meta.Use] = meta.FormatDict("cores", t.UseCores, "memory", t.UseMemory)
+	}
+	p.Status = corev1.PodStatus{Phase: phases[t.Phase], Reason: reasons[t.Reason]}
+	return p
+}
+
+func (n *Node) answer(ex *httpd.Exchange, x *machine.Effect) {
+	now := n.l.Now()
+	if x.Task != nil && now < n.lose {
+		ex.Reset()
+		return
+	}
+	resp := n.refusal(x.Reason)
+	if x.Task != nil {
+		p := n.show(x.Task)
+		if o := n.st.Get(store.Pods, p.Namespace, p.Name); o != nil {
+			p.ResourceVersion = o.GetResourceVersion()
+		} else {
+			p.ResourceVersion = strconv.FormatInt(n.st.Rev(), 10)
+		}
+		b, _ := json.Marshal(p)
+		resp = http1.Response{Status: 201, Body: b}
+	} else {
+		n.tap(Tap{What: "refuse", UID: x.UID, Attempt: x.Attempt, Reason: reasons[x.Reason]})
+	}
+	n.respond(ex, resp)
+}
+
+func (n *Node) respond(ex *httpd.Exchange, resp http1.Response) {
+	resp.Header = append(resp.Header, http1.Field{Name: "Content-Type", Value: "application/json"},
+		http1.Field{Name: meta.LoadHeader, Value: n.load}, http1.Field{Name: meta.BootHeader, Value: n.boot})
+	if n.l.Now() < n.trickle {
+		n.l.After(1, func() { ex.Respond(resp) })
+		return
+	}
+	ex.Respond(resp)
+}
+
+func status(code int, reason, message string) http1.Response {
+	b, _ := json.Marshal(&metav1.Status{TypeMeta: metav1.TypeMeta{Kind: "Status", APIVersion: "v1"}, Status: metav1.StatusFailure,
+		Code: int32(code), Reason: metav1.StatusReason(reason), Message: message})
+	return http1.Response{Status: code, Body: b}
+}
+
+func (n *Node) refusal(r machine.Reason) http1.Response {
+	switch r {
+	case machine.NoCores:
+		return status(409, meta.OutOfCPU, "Node didn't have enough resource: cpu")
+	case machine.NoMemory:
+		return status(409, meta.OutOfMemory, "Node didn't have enough resource: memory")
+	case machine.TooMany:
+		return status(429, meta.TooMany, "too many offers wait")
+	}
+	return status(409, meta.NotHere, "the machine drains, or this attempt was given up")
+}
+
+func (n *Node) serve(x *httpd.Exchange) {
+	now := n.l.Now()
+	if n.m == nil || now < n.cutUntil {
+		x.Reset()
+		return
+	}
+	path, _, _ := strings.Cut(x.Head.Target, "?")
+	parts := strings.Split(strings.Trim(path, "/"), "/")
+	pods := len(parts) >= 5 && parts[0] == "api" && parts[2] == "namespaces" && parts[4] == "pods"
+	switch {
+	case x.Head.Method == "PUT" && path == "/heathshed/faults":
+		var f Faults
+		if err := json.Unmarshal(x.Body, &f); err != nil {
+			n.respond(x, status(400, "BadRequest", "faults: "+err.Error()))
+			return
+		}
+		x.Respond(http1.Response{Status: 204})
+		n.Fault(f)
+	case pods && len(parts) == 5 && x.Head.Method == "POST":
+		n.offer(x)
+	case pods && len(parts) == 6 && x.Head.Method == "DELETE":
+		n.stop(x)
+	default:
+		n.m.Tick(now)
+		n.after()
+		resp := n.api.Serve(now, &x.Request)
+		resp.Header = append(resp.Header, http1.Field{Name: meta.BootHeader, Value: n.boot},
+			http1.Field{Name: meta.LoadHeader, Value: n.load})
+		x.Respond(resp)
+	}
+}
+
+func (n *Node) offer(x *httpd.Exchange) {
+	now := n.l.Now()
+	p := &corev1.Pod{}
+	attempt, err := strconv.Atoi(x.Head.Header.Get(meta.AttemptHeader))
+	if err == nil {
+		err = json.Unmarshal(x.Body, p)
+	}
+	if err != nil || p.UID == "" || p.Name == "" || p.Namespace == "" {
+		n.respond(x, status(400, "BadRequest", "want a Pod with uid, name and namespace, and the attempt's number in "+meta.AttemptHeader))
+		return
+	}
+	if p.Labels == nil {
+		p.Labels = map[string]string{}
+	}
+	if p.Annotations == nil {
+		p.Annotations = map[string]string{}
+	}
+	class := p.Labels[meta.Class]
+	n.tap(Tap{What: "offer", UID: string(p.UID), Attempt: attempt, Scheduler: p.Labels[meta.Scheduler], Class: class,
+		Service: p.Namespace + "/" + service(p)})
+	if now < n.reset {
+		x.Reset()
+		return
+	}
+	if now < n.errs && (n.errClass == "" || n.errClass == class) {
+		n.respond(x, status(500, "InternalError", "the machine fails"))
+		return
+	}
+	c, m := meta.Requests(&p.Spec)
+	o := machine.Offer{UID: string(p.UID), Attempt: attempt, Service: p.Namespace + "/" + service(p), Cores: c, Memory: m,
+		Priority: n.o.Priorities[class], Payload: p}
+	if v, err := strconv.ParseFloat(p.Annotations[meta.Lifetime], 64); err == nil && v > 0 && v < 1e7 {
+		o.Life = v
+	} else {
+		o.Life = n.o.Lives[class]
+	}
+	k := key(o.UID, attempt)
+	n.pending[k] = append(n.pending[k], x)
+	n.m.Offer(now, o)
+	n.after()
+}
+
+func service(p *corev1.Pod) string {
+	if s := p.Labels[meta.Service]; s != "" {
+		return s
+	}
+	return p.Labels[meta.JobName]
+}
+
+func (n *Node) stop(x *httpd.Exchange) {
+	var d metav1.DeleteOptions
+	attempt, err := strconv.Atoi(x.Head.Header.Get(meta.AttemptHeader))
+	if err == nil {
+		err = json.Unmarshal(x.Body, &d)
+	}
+	if err != nil || d.Preconditions == nil || d.Preconditions.UID == nil {
+		n.respond(x, status(400, "BadRequest", "want preconditions.uid and "+meta.AttemptHeader))
+		return
+	}
+	uid := string(*d.Preconditions.UID)
+	had, ran := n.m.Stop(n.l.Now(), uid, attempt)
+	n.tap(Tap{What: "stop", UID: uid, Attempt: attempt, Reason: fmt.Sprintf("had=%v ran=%v", had, ran)})
+	n.after()
+	if !had {
+		n.respond(x, status(404, "NotFound", "no such Pod; this attempt will not be taken any more"))
+		return
+	}
+	p := &corev1.Pod{}
+	p.UID = types.UID(uid)
+	p.Status.Phase, p.Status.Reason = corev1.PodFailed, meta.Stopped
+	if !ran {
+		p.Status.Reason = meta.NeverRan
+	}
+	b, _ := json.Marshal(p)
+	n.respond(x, http1.Response{Status: 200, Body: b})
+}
+
+// Fault makes the machine faulty, or well again.
+func (n *Node) Fault(f Faults) {
+	now := n.l.Now()
+	set := func(p *float64, d float64) {
+		if d != 0 {
+			*p = now + d
+		}
+	}
+	set(&n.refuse, f.Refuse)
+	set(&n.lose, f.LoseAnswer)
+	set(&n.reset, f.Reset)
+	set(&n.trickle, f.Trickle)
+	if f.Error != 0 {
+		n.errs, n.errClass = now+f.Error, f.Class
+	}
+	if n.m != nil && f.Stall != 0 {
+		n.m.StallUntil(now + f.Stall)
+	}
+	if f.Cut > 0 {
+		n.cutUntil = now + f.Cut
+		n.http.Close()
+		n.l.After(f.Cut, func() {
+			if n.m != nil && n.l.Now() >= n.cutUntil-0.001 {
+				n.relisten()
+			}
+		})
+	}
+	if f.Drain != nil && n.m != nil {
+		if *f.Drain {
+			n.tap(Tap{What: "drain"})
+			n.m.Drain(now)
+		} else {
+			n.tap(Tap{What: "undrain"})
+			n.m.Undrain(now)
+		}
+		n.after()
+	}
+	if f.Crash > 0 {
+		n.tap(Tap{What: "crash"})
+		n.down(f.Crash)
+	}
+}
+
+func (n *Node) relisten() {
+	opt := httpd.DefaultOptions()
+	opt.IdleWithin = 600
+	srv, err := httpd.Listen(n.l, n.addr, opt, n.serve)
+	if err != nil {
+		n.l.After(0.1, func() {
+			if n.m != nil {
+				n.relisten()
+			}
+		})
+		return
+	}
+	n.http = srv
+}
+
+// down ends this life; another, cold one begins after so many seconds.
+func (n *Node) down(d float64) {
+	if n.m == nil {
+		return
+	}
+	n.m = nil
+	n.timer.Stop()
+	n.http.Close()
+	var again func()
+	again = func() {
+		if n.stopped || n.m != nil {
+			return
+		}
+		if err := n.up(true); err != nil {
+			n.m = nil
+			n.l.After(0.1, again)
+		}
+	}
+	n.l.After(d, again)
+}
+
+// Stop takes the machine away for good.
+func (n *Node) Stop() {
+	n.stopped = true
+	if n.m != nil {
+		n.m = nil
+		n.timer.Stop()
+		n.http.Close()
+	}
+}
