Command heathshed: up, serve, standin, config check

One command brings up a scheduler, an inventory and stand-in machines on loopback. Settings are JSON with comments; every field is checked and errors name file, line and column.

--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,427 @@
+// Package settings reads the program's settings: JSON with comments, every field checked, errors with file, line and column.
+//
+// It is pure but for Load, which reads the file.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+
+	"k8s.io/apimachinery/pkg/util/validation"
+
+	"heathshed/internal/engine"
+	"heathshed/internal/machine"
+	"heathshed/internal/owner"
+	"heathshed/placer"
+)
+
+// Settings are all that a scheduler and the stand-ins are told. Times are in seconds, memory in GiB.
+type Settings struct {
+	Name          string   `json:"name"`
+	Listen        string   `json:"listen"`
+	Inventory     string   `json:"inventory"`
+	Zone          string   `json:"zone"`
+	LogLevel      string   `json:"logLevel"`
+	Self          int      `json:"self"`
+	Peers         int      `json:"peers"`
+	Tenants       []Tenant `json:"tenants"`
+	Classes       []Class  `json:"classes"`
+	DefaultClass  string   `json:"defaultClass"`
+	Kinds         []Kind   `json:"kinds"`
+	Machines      Machines `json:"machines"`
+	Rules         Rules    `json:"rules"`
+	Prices        Prices   `json:"prices"`
+	Owner         Owner    `json:"owner"`
+	Limits        Limits   `json:"limits"`
+	StandIn       StandIn  `json:"standin"`
+	HeardWithin   float64  `json:"heardWithin"`
+	ConnectWithin float64  `json:"connectWithin"`
+	StopWithin    float64  `json:"stopWithin"`
+}
+
+// Tenant is a namespace with a share.
+type Tenant struct {
+	Name  string  `json:"name"`
+	Share float64 `json:"share"`
+	Cores float64 `json:"cores"`
+}
+
+// Class is a class of tasks.
+type Class struct {
+	Name       string  `json:"name"`
+	Effect     string  `json:"effect"` // idempotent, deduplicated or at_most_once
+	KeyScope   string  `json:"keyScope"`
+	KeyTTL     float64 `json:"keyTtl"`
+	Aim        float64 `json:"aim"`
+	Deadline   float64 `json:"deadline"`
+	Priority   int     `json:"priority"`
+	Worth      float64 `json:"worth"`
+	LateWorth  float64 `json:"lateWorth"`
+	StartBonus float64 `json:"startBonus"`
+	NodeKind   string  `json:"nodeKind"`
+	ApartBy    string  `json:"apartBy"` // none, machine, rack or zone
+	Together   int     `json:"togetherMax"`
+	CalmUpTo   float64 `json:"calmUpTo"`
+	FadesOver  float64 `json:"fadesOver"`
+	Life       float64 `json:"life"` // of stand-in tasks, on average
+}
+
+// Kind is a type of machine.
+type Kind struct {
+	Name   string  `json:"name"`
+	Cores  float64 `json:"cores"`
+	Memory float64 `json:"memory"`
+}
+
+// Machines are the limits and habits of all machines.
+type Machines struct {
+	BookCores          float64 `json:"bookCores"`
+	BookMemory         float64 `json:"bookMemory"`
+	AnswersWhenRunning bool    `json:"answersWhenRunning"`
+	ListShowsRoom      bool    `json:"listShowsRoom"`
+	PushesOut          bool    `json:"pushesOut"`
+	MaxAttempts        int     `json:"maxAttempts"`
+}
+
+// Rules are the figures of the five rules.
+type Rules struct {
+	AnswerSlack  float64 `json:"answerSlack"`
+	DrainGrace   float64 `json:"drainGrace"`
+	ColdFrom     float64 `json:"coldFrom"`
+	WarmWithin   float64 `json:"warmWithin"`
+	FallMultiple float64 `json:"fallMultiple"`
+	FallWindow   float64 `json:"fallWindow"`
+	ColdAlways   float64 `json:"coldAlways"`
+}
+
+// Prices weigh machines in use, zones crossed and moves.
+type Prices struct {
+	Fleet float64 `json:"fleet"`
+	Cross float64 `json:"cross"`
+	Move  float64 `json:"move"`
+}
+
+// Owner are the waits before a task is asked for again.
+type Owner struct {
+	Again  float64 `json:"again"`
+	Soon   float64 `json:"soon"`
+	Growth float64 `json:"growth"`
+	Most   float64 `json:"most"`
+	Settle float64 `json:"settle"`
+}
+
+// Limits bound what the program holds.
+type Limits struct {
+	Connections  int     `json:"connections"`
+	Body         int     `json:"body"`
+	Pods         int     `json:"pods"`
+	History      int     `json:"history"`
+	Page         int     `json:"page"`
+	KeepFinished float64 `json:"keepFinished"`
+	LostAfter    float64 `json:"lostAfter"`
+}
+
+// StandIn describes the stand-in machines and inventory of up and standin.
+type StandIn struct {
+	Nodes        int     `json:"nodes"`
+	Racks        int     `json:"racks"`
+	Zones        int     `json:"zones"`
+	Late         float64 `json:"late"`
+	SilentAfter  float64 `json:"silentAfter"`
+	RemoveAfter  float64 `json:"removeAfter"`
+	LookMin      float64 `json:"lookMin"`
+	LookMax      float64 `json:"lookMax"`
+	MaxWaiting   int     `json:"maxWaiting"`
+	StartsAtOnce int     `json:"startsAtOnce"`
+	StartWork    float64 `json:"startWork"`
+	FreshFactor  float64 `json:"freshFactor"`
+	KeepPrograms int     `json:"keepPrograms"`
+	UseMin       float64 `json:"useMin"`
+	UseMax       float64 `json:"useMax"`
+	LifeMean     float64 `json:"lifeMean"`
+	Grace        float64 `json:"grace"`
+	Seed         uint64  `json:"seed"`
+}
+
+// Default is what the program runs with when nothing is given.
+func Default() Settings {
+	own := owner.DefaultPolicy()
+	m := machine.DefaultConfig()
+	return Settings{
+		Name: "heathshed", Listen: "127.0.0.1:8480", Inventory: "127.0.0.1:8481", Zone: "zone-a", LogLevel: "info", Peers: 1,
+		Classes: []Class{
+			{Name: "web", Effect: "idempotent", Aim: 1, Deadline: 8, Priority: 1, Worth: 2, LateWorth: 0.2, StartBonus: 8, CalmUpTo: 0.8, FadesOver: 0.5},
+			{Name: "batch", Effect: "idempotent", Aim: 4, Deadline: 10, Worth: 1, LateWorth: 0.2, StartBonus: 8, CalmUpTo: 1, FadesOver: 0.5},
+			{Name: "once", Effect: "at_most_once", Aim: 4, Deadline: 10, Priority: 2, Worth: 2, LateWorth: 0.2, StartBonus: 8,
+				CalmUpTo: 1, FadesOver: 0.5},
+			{Name: "keyed", Effect: "deduplicated", KeyScope: "rack", KeyTTL: 5, Aim: 1, Deadline: 8, Priority: 1, Worth: 3, LateWorth: 0.2,
+				StartBonus: 8, CalmUpTo: 0.9, FadesOver: 0.5},
+			{Name: "spread", Effect: "idempotent", Aim: 4, Deadline: 10, Worth: 1, LateWorth: 0.2, StartBonus: 8, CalmUpTo: 1, FadesOver: 0.5,
+				ApartBy: "rack", Together: 3},
+		},
+		DefaultClass: "batch",
+		Kinds:        []Kind{{"standard", 32, 64}, {"large", 64, 128}},
+		Machines:     Machines{BookCores: m.BookCores, BookMemory: m.BookMemory, ListShowsRoom: true, PushesOut: true, MaxAttempts: 4},
+		Rules: Rules{AnswerSlack: 0.25, DrainGrace: 0.5, ColdFrom: m.ColdFrom, WarmWithin: m.WarmWithin, FallMultiple: m.FallMultiple,
+			FallWindow: m.FallWindow, ColdAlways: m.ColdAlways},
+		Owner:       Owner{own.Again, own.Soon, own.Growth, own.Most, own.Settle},
+		HeardWithin: 5, ConnectWithin: 1, StopWithin: 30,
+		Limits: Limits{Connections: 16384, Body: 3 << 20, Pods: engine.DefaultMaxPods, History: engine.DefaultHistory, KeepFinished: 3600,
+			LostAfter: engine.DefaultLostAfter},
+		StandIn: StandIn{Nodes: 8, Racks: 2, Zones: 1, Late: 1, SilentAfter: 2, RemoveAfter: 60, LookMin: m.LookMin, LookMax: m.LookMax,
+			MaxWaiting: m.MaxWaiting, StartsAtOnce: m.StartsAtOnce, StartWork: m.StartWork, FreshFactor: m.FreshFactor,
+			KeepPrograms: m.KeepPrograms, UseMin: m.UseMin, UseMax: m.UseMax, LifeMean: m.LifeMean, Grace: m.Grace, Seed: 1},
+	}
+}
+
+// Load reads a file over the defaults and checks all of it.
+func Load(file string) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(file, text)
+}
+
+// Parse is Load on text; file is only named in errors.
+func Parse(file string, text []byte) (Settings, error) {
+	s := Default()
+	d := decoder{file: file, text: text}
+	if err := d.decode(&s); err != nil {
+		return Settings{}, err
+	}
+	if path, msg := s.check(); msg != "" {
+		at, ok := d.at[path]
+		for p := path; !ok && p != ""; at, ok = d.at[p] {
+			p = parent(p)
+		}
+		return Settings{}, d.fail(at, path, "%s", msg)
+	}
+	return s, nil
+}
+
+func parent(p string) string {
+	for i := len(p) - 1; i >= 0; i-- {
+		if p[i] == '.' || p[i] == '[' {
+			return p[:i]
+		}
+	}
+	return ""
+}
+
+// Text writes settings in the form that Parse reads.
+func (s *Settings) Text() ([]byte, error) { return json.MarshalIndent(s, "", "  ") }
+
+var effects = map[string]placer.Effect{"idempotent": placer.Repeatable, "deduplicated": placer.Keyed, "at_most_once": placer.Once}
+var places = map[string]placer.Place{"": placer.NoPlace, "none": placer.NoPlace, "machine": placer.OneNode, "rack": placer.Rack,
+	"zone": placer.Zone, "all": placer.Everywhere}
+
+// check returns the path of the first setting that cannot be used and why.
+func (s *Settings) check() (path, msg string) {
+	if s.Name == "" || len(validation.IsValidLabelValue(s.Name)) > 0 {
+		return "name", "want a label value: letters, digits, '-', '_' and '.', 63 at most"
+	}
+	for _, a := range []struct{ path, v string }{{"listen", s.Listen}, {"inventory", s.Inventory}} {
+		if ap, err := netip.ParseAddrPort(a.v); err != nil || !ap.Addr().IsLoopback() {
+			return a.path, fmt.Sprintf("%q: want a loopback address and port such as 127.0.0.1:8480", a.v)
+		}
+	}
+	if s.Peers < 1 {
+		return "peers", "want 1 or more"
+	}
+	if s.Self < 0 || s.Self >= s.Peers {
+		return "self", fmt.Sprintf("want 0 to %d, one of the peers", s.Peers-1)
+	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
+		return "logLevel", "want debug, info, warn or error"
+	}
+	share := 0.0
+	seen := map[string]bool{}
+	for i, t := range s.Tenants {
+		p := fmt.Sprintf("tenants[%d]", i)
+		if len(validation.IsDNS1123Label(t.Name)) > 0 || seen[t.Name] {
+			return p + ".name", "want a namespace name, each once"
+		}
+		seen[t.Name] = true
+		if !(t.Share >= 0) || !(t.Cores >= 0) {
+			return p + ".share", "want 0 or more"
+		}
+		if share += t.Share; share > 1.0001 {
+			return p + ".share", "shares add up to more than 1"
+		}
+	}
+	if len(s.Classes) == 0 {
+		return "classes", "want one at least"
+	}
+	kinds := map[string]bool{"": true}
+	if len(s.Kinds) == 0 {
+		return "kinds", "want one at least"
+	}
+	for i, k := range s.Kinds {
+		p := fmt.Sprintf("kinds[%d]", i)
+		if k.Name == "" || len(validation.IsValidLabelValue(k.Name)) > 0 || kinds[k.Name] {
+			return p + ".name", "want a label value, each once"
+		}
+		kinds[k.Name] = true
+		if !(k.Cores > 0) {
+			return p + ".cores", "want more than 0"
+		}
+		if !(k.Memory > 0) {
+			return p + ".memory", "want more than 0"
+		}
+	}
+	names := map[string]bool{}
+	for i, c := range s.Classes {
+		p := fmt.Sprintf("classes[%d]", i)
+		_, effect := effects[c.Effect]
+		_, scope := places[c.KeyScope]
+		_, apart := places[c.ApartBy]
+		switch {
+		case c.Name == "" || len(validation.IsValidLabelValue(c.Name)) > 0 || names[c.Name]:
+			return p + ".name", "want a label value, each once"
+		case !effect:
+			return p + ".effect", fmt.Sprintf("%q: want idempotent, deduplicated or at_most_once", c.Effect)
+		case !scope || c.Effect == "deduplicated" && (c.KeyScope == "" || c.KeyScope == "none"):
+			return p + ".keyScope", fmt.Sprintf("%q: want machine, rack, zone or all", c.KeyScope)
+		case c.Effect == "deduplicated" && !(c.KeyTTL > 0):
+			return p + ".keyTtl", "want more than 0"
+		case !(c.Aim > 0):
+			return p + ".aim", "want more than 0"
+		case !(c.Deadline > 0) || c.Deadline > 3600:
+			return p + ".deadline", "want more than 0, 3600 at most"
+		case !kinds[c.NodeKind]:
+			return p + ".nodeKind", fmt.Sprintf("%q is not among kinds", c.NodeKind)
+		case !apart || c.ApartBy == "all":
+			return p + ".apartBy", fmt.Sprintf("%q: want none, machine, rack or zone", c.ApartBy)
+		case c.ApartBy != "" && c.ApartBy != "none" && c.Together < 1:
+			return p + ".togetherMax", "want 1 or more beside apartBy"
+		case !(c.CalmUpTo > 0):
+			return p + ".calmUpTo", "want more than 0"
+		case !(c.FadesOver >= 0):
+			return p + ".fadesOver", "want 0 or more"
+		}
+		names[c.Name] = true
+	}
+	if !names[s.DefaultClass] {
+		return "defaultClass", fmt.Sprintf("%q is not among classes", s.DefaultClass)
+	}
+	for _, f := range []struct {
+		path      string
+		v, lo, hi float64
+	}{
+		{path: "machines.bookCores", v: s.Machines.BookCores, lo: 0.1, hi: 100}, {path: "machines.bookMemory", v: s.Machines.BookMemory, lo: 0.1, hi: 100},
+		{path: "machines.maxAttempts", v: float64(s.Machines.MaxAttempts), lo: 1, hi: 100},
+		{path: "rules.answerSlack", v: s.Rules.AnswerSlack, lo: 0.01, hi: 10}, {path: "rules.drainGrace", v: s.Rules.DrainGrace, lo: 0, hi: 60},
+		{path: "rules.coldFrom", v: s.Rules.ColdFrom, lo: 0, hi: 1}, {path: "rules.warmWithin", v: s.Rules.WarmWithin, lo: 0, hi: 3600},
+		{path: "rules.fallMultiple", v: s.Rules.FallMultiple, lo: 0, hi: 1e6}, {path: "rules.fallWindow", v: s.Rules.FallWindow, lo: 0, hi: 60},
+		{path: "rules.coldAlways", v: s.Rules.ColdAlways, lo: 0, hi: 1e6},
+		{path: "prices.fleet", v: s.Prices.Fleet, lo: 0, hi: 100}, {path: "prices.cross", v: s.Prices.Cross, lo: 0, hi: 100},
+		{path: "prices.move", v: s.Prices.Move, lo: 0, hi: 100},
+		{path: "owner.again", v: s.Owner.Again, lo: 1, hi: 3600}, {path: "owner.soon", v: s.Owner.Soon, lo: 0, hi: 3600},
+		{path: "owner.growth", v: s.Owner.Growth, lo: 1, hi: 10}, {path: "owner.most", v: s.Owner.Most, lo: 1, hi: 3600},
+		{path: "owner.settle", v: s.Owner.Settle, lo: 0, hi: 600},
+		{path: "limits.connections", v: float64(s.Limits.Connections), lo: 1, hi: 1e6}, {path: "limits.body", v: float64(s.Limits.Body), lo: 1024, hi: 1 << 30},
+		{path: "limits.pods", v: float64(s.Limits.Pods), lo: 1, hi: 1e7}, {path: "limits.history", v: float64(s.Limits.History), lo: 1, hi: 1e7},
+		{path: "limits.page", v: float64(s.Limits.Page), lo: 0, hi: 1e7}, {path: "limits.keepFinished", v: s.Limits.KeepFinished, lo: 0, hi: 1e9},
+		{path: "limits.lostAfter", v: s.Limits.LostAfter, lo: 0.1, hi: 3600},
+		{path: "heardWithin", v: s.HeardWithin, lo: 0, hi: 600}, {path: "connectWithin", v: s.ConnectWithin, lo: 0.01, hi: 60},
+		{path: "stopWithin", v: s.StopWithin, lo: 0, hi: 3600},
+		{path: "standin.nodes", v: float64(s.StandIn.Nodes), lo: 1, hi: 10000}, {path: "standin.racks", v: float64(s.StandIn.Racks), lo: 1, hi: 10000},
+		{path: "standin.zones", v: float64(s.StandIn.Zones), lo: 1, hi: 100}, {path: "standin.late", v: s.StandIn.Late, lo: 0, hi: 600},
+		{path: "standin.silentAfter", v: s.StandIn.SilentAfter, lo: 0.5, hi: 600}, {path: "standin.removeAfter", v: s.StandIn.RemoveAfter, lo: 0, hi: 1e6},
+		{path: "standin.lookMin", v: s.StandIn.LookMin, lo: 0, hi: 10}, {path: "standin.lookMax", v: s.StandIn.LookMax, lo: s.StandIn.LookMin, hi: 10},
+		{path: "standin.maxWaiting", v: float64(s.StandIn.MaxWaiting), lo: 1, hi: 1e6}, {path: "standin.startsAtOnce", v: float64(s.StandIn.StartsAtOnce), lo: 1, hi: 1e6},
+		{path: "standin.startWork", v: s.StandIn.StartWork, lo: 0.0001, hi: 600}, {path: "standin.freshFactor", v: s.StandIn.FreshFactor, lo: 1, hi: 1000},
+		{path: "standin.keepPrograms", v: float64(s.StandIn.KeepPrograms), lo: 0, hi: 1000},
+		{path: "standin.useMin", v: s.StandIn.UseMin, lo: 0, hi: 10}, {path: "standin.useMax", v: s.StandIn.UseMax, lo: s.StandIn.UseMin, hi: 10},
+		{path: "standin.lifeMean", v: s.StandIn.LifeMean, lo: 0.01, hi: 1e7}, {path: "standin.grace", v: s.StandIn.Grace, lo: -1, hi: 3600},
+	} {
+		if !(f.v >= f.lo && f.v <= f.hi) {
+			return f.path, fmt.Sprintf("%v: want %v to %v", f.v, f.lo, f.hi)
+		}
+	}
+	return "", ""
+}
+
+// Check says whether settings made in code or by flags can be used.
+func (s *Settings) Check() error {
+	if path, msg := s.check(); msg != "" {
+		return fmt.Errorf("settings: %s: %s", path, msg)
+	}
+	return nil
+}
+
+// Engine turns settings into an engine's configuration.
+func (s *Settings) Engine(seed uint64, baseRev int64) engine.Config {
+	c := engine.Config{Name: s.Name, Zone: s.Zone, Seed: seed, BaseRev: baseRev, History: s.Limits.History, MaxPods: s.Limits.Pods,
+		KeepFinished: s.Limits.KeepFinished, LostAfter: s.Limits.LostAfter,
+		Owner: owner.Policy{Again: s.Owner.Again, Soon: s.Owner.Soon, Growth: s.Owner.Growth, Most: s.Owner.Most, Settle: s.Owner.Settle}}
+	p := placer.Config{Self: s.Self, Peers: s.Peers, BookCores: s.Machines.BookCores, BookMemory: s.Machines.BookMemory,
+		AnswersWhenRunning: s.Machines.AnswersWhenRunning, ListShowsRoom: s.Machines.ListShowsRoom, ReportsUse: true,
+		PushesOut: s.Machines.PushesOut, MaxAttempts: s.Machines.MaxAttempts, ConnectWithin: s.ConnectWithin, AnswerSlack: s.Rules.AnswerSlack,
+		DrainGrace: s.Rules.DrainGrace, ColdFrom: s.Rules.ColdFrom, WarmWithin: s.Rules.WarmWithin, FallMultiple: s.Rules.FallMultiple,
+		FallWindow: s.Rules.FallWindow, ColdAlways: s.Rules.ColdAlways, SettleAfter: s.Owner.Settle, FleetPrice: s.Prices.Fleet,
+		CrossPrice: s.Prices.Cross, MovePrice: s.Prices.Move, OverShareWorth: 0.2}
+	for i, k := range s.Classes {
+		c.Classes = append(c.Classes, k.Name)
+		if k.Name == s.DefaultClass {
+			c.DefaultClass = i
+		}
+		p.Classes = append(p.Classes, placer.Class{Effect: effects[k.Effect], Group: places[k.KeyScope], Remembers: k.KeyTTL, Aim: k.Aim,
+			Deadline: k.Deadline, Worth: k.Worth, LateWorth: k.LateWorth, StartBonus: k.StartBonus, Priority: k.Priority,
+			NodeKind: slices.IndexFunc(s.Kinds, func(x Kind) bool { return x.Name == k.NodeKind }), Apart: places[k.ApartBy], Most: k.Together,
+			CalmUpTo: k.CalmUpTo, FadesOver: k.FadesOver})
+	}
+	for _, k := range s.Kinds {
+		c.Kinds = append(c.Kinds, k.Name)
+		p.Kinds = append(p.Kinds, placer.Kind{Cores: k.Cores, Memory: k.Memory})
+	}
+	for _, t := range s.Tenants {
+		c.Tenants = append(c.Tenants, t.Name)
+		p.Tenants = append(p.Tenants, placer.Tenant{Share: t.Share, Cores: t.Cores})
+	}
+	c.Placer = p
+	return c
+}
+
+// Machine turns settings into the model of the i-th stand-in machine, with its kind, rack and zone.
+func (s *Settings) Machine(i int) (cfg machine.Config, kind, rack, zone string) {
+	k := s.Kinds[i%len(s.Kinds)]
+	x := &s.StandIn
+	cfg = machine.Config{Cores: k.Cores, Memory: k.Memory, BookCores: s.Machines.BookCores, BookMemory: s.Machines.BookMemory,
+		LookMin: x.LookMin, LookMax: x.LookMax, MaxWaiting: x.MaxWaiting, StartsAtOnce: x.StartsAtOnce, StartWork: x.StartWork,
+		FreshFactor: x.FreshFactor, KeepPrograms: x.KeepPrograms, ColdFrom: s.Rules.ColdFrom, WarmWithin: s.Rules.WarmWithin,
+		FallMultiple: s.Rules.FallMultiple, FallWindow: s.Rules.FallWindow, ColdAlways: s.Rules.ColdAlways,
+		AnswersWhenRunning: s.Machines.AnswersWhenRunning, PushesOut: s.Machines.PushesOut, LifeMean: x.LifeMean, UseMin: x.UseMin,
+		UseMax: x.UseMax, Grace: x.Grace, KeepEnded: 60, Seed: x.Seed + uint64(i)*104729}
+	r := (i / len(s.Kinds)) % max(x.Racks, 1)
+	z := r % max(x.Zones, 1)
+	zone = s.Zone
+	if z > 0 {
+		zone = fmt.Sprintf("zone-%c", 'a'+z)
+	}
+	return cfg, k.Name, fmt.Sprintf("rack-%d", r+1), zone
+}
+
+// Priorities and Lives are per class, for stand-ins.
+func (s *Settings) Priorities() map[string]int {
+	out := map[string]int{}
+	for _, c := range s.Classes {
+		out[c.Name] = c.Priority
+	}
+	return out
+}
+
+// Lives is how long tasks of each class run on average, where a class says so.
+func (s *Settings) Lives() map[string]float64 {
+	out := map[string]float64{}
+	for _, c := range s.Classes {
+		if c.Life > 0 {
+			out[c.Name] = c.Life
+		}
+	}
+	return out
+}
