--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -6,7 +6,6 @@
 
 import (
 	"errors"
-	"io"
 
 	"heathshed/internal/http1"
 	"heathshed/internal/loop"
@@ -116,6 +115,9 @@
 // Exchange is one request and its answer.
 type Exchange struct {
 	http1.Request
+	// OnGone, if set, is called when the peer goes away before the answer.
+	OnGone func()
+
 	c      *conn
 	body   []byte
 	asked  bool // handed to the handler
@@ -365,8 +367,7 @@
 	c.pull()
 }
 
-func (c *conn) Closed(_ *loop.Conn, err error) {
-	_ = errors.Is(err, io.EOF)
+func (c *conn) Closed(*loop.Conn, error) {
 	c.timer.Stop()
 	delete(c.s.conns, c)
 	delete(c.s.streams, c)
@@ -374,5 +375,9 @@
 		c.x.stream.Stopped()
 		c.x.stream = nil
 	}
+	if x := c.x; x != nil && x.asked && !x.done && x.OnGone != nil {
+		x.done = true
+		x.OnGone()
+	}
 	c.x = nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/apimachinery/pkg/util/validation"
 
+	"heathshed/internal/badday"
 	"heathshed/internal/engine"
 	"heathshed/internal/machine"
 	"heathshed/internal/owner"
@@ -151,7 +152,7 @@
 	own := owner.DefaultPolicy()
 	m := machine.DefaultConfig()
 	return Settings{
-		Name: "heathshed", Listen: "127.0.0.1:8480", Inventory: "127.0.0.1:8481", Zone: "zone-a", LogLevel: "info", Peers: 1,
+		Name: "heathshed", Listen: "127.0.0.1:8480", Inventory: "127.0.0.1:8481", Zone: "zone-a", LogLevel: "info", Peers: 1, Tenants: []Tenant{},
 		Classes: []Class{
 			{Name: "web", Effect: "idempotent", Aim: 1, Deadline: 8, Priority: 1, Worth: 2, LateWorth: 0.2, StartBonus: 8, CalmUpTo: 0.8, FadesOver: 0.5},
 			{Name: "batch", Effect: "idempotent", Aim: 4, Deadline: 10, Worth: 1, LateWorth: 0.2, StartBonus: 8, CalmUpTo: 1, FadesOver: 0.5},
@@ -425,3 +426,25 @@
 	}
 	return out
 }
+
+// LoadScript reads the script of a day over the built-in one's load and figures.
+func LoadScript(file string) (badday.Script, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return badday.Script{}, fmt.Errorf("script: %w", err)
+	}
+	s := badday.Default()
+	s.Trouble = nil
+	d := decoder{file: file, text: text}
+	if err := d.decode(&s); err != nil {
+		return badday.Script{}, err
+	}
+	if path, msg := s.Check(); msg != "" {
+		at, ok := d.at[path]
+		for p := path; !ok && p != ""; at, ok = d.at[p] {
+			p = parent(p)
+		}
+		return badday.Script{}, d.fail(at, path, "%s", msg)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/standin/fault/fault.go
@@ -0,0 +1,24 @@
+// Package fault names what stand-ins can be made to do wrong. It is pure data, shared by those who order faults and those who
+// carry them out.
+package fault
+
+// Machine is what a machine can be made to do wrong, each for so many seconds from the order. Class bounds Error to one class.
+type Machine struct {
+	Refuse     float64 `json:"refuse,omitempty"`     // refuses as full
+	Stall      float64 `json:"stall,omitempty"`      // decides and starts nothing
+	LoseAnswer float64 `json:"loseAnswer,omitempty"` // accepts, and breaks the connection in place of the answer
+	Reset      float64 `json:"reset,omitempty"`      // breaks the connection before looking at the offer
+	Trickle    float64 `json:"trickle,omitempty"`    // holds each answer back for a second
+	Error      float64 `json:"error,omitempty"`      // answers 500
+	Class      string  `json:"class,omitempty"`
+	Crash      float64 `json:"crash,omitempty"` // dies with all it holds and comes back cold after that long
+	Cut        float64 `json:"cut,omitempty"`   // cannot be reached; its tasks run on
+	Drain      *bool   `json:"drain,omitempty"` // a state
+}
+
+// Inventory is what an inventory can be made to do wrong, in seconds from the order.
+type Inventory struct {
+	Cut   float64  `json:"cut,omitempty"`   // out of reach
+	Empty float64  `json:"empty,omitempty"` // shows no machines
+	Hide  []string `json:"hide,omitempty"`  // machines taken out until the next order
+}
--- a/internal/standin/inventory.go
+++ b/internal/standin/inventory.go
@@ -10,9 +10,11 @@
 	corev1 "k8s.io/api/core/v1"
 
 	"heathshed/internal/api"
+	"heathshed/internal/audit"
 	"heathshed/internal/http1"
 	"heathshed/internal/httpd"
 	"heathshed/internal/loop"
+	"heathshed/internal/standin/fault"
 	"heathshed/internal/store"
 )
 
@@ -23,13 +25,8 @@
 	SilentAfter float64 // a machine that has not reported for so long is shown as not ready
 	RemoveAfter float64 // and for so long is taken out; 0 never
 	History     int
-}
-
-// InventoryFaults are what an inventory can be made to do wrong, in seconds from now.
-type InventoryFaults struct {
-	Cut   float64  `json:"cut,omitempty"`   // out of reach
-	Empty float64  `json:"empty,omitempty"` // shows no machines
-	Hide  []string `json:"hide,omitempty"`  // machines taken out until the next faults
+	// Tap, if set, is told how each machine is shown, and of cuts.
+	Tap func(audit.Event)
 }
 
 // Inventory lists the machines that report to it.
@@ -97,7 +94,7 @@
 		x.Respond(http1.Response{Status: 204})
 		v.l.After(v.o.Late, func() { v.report(o) })
 	case x.Head.Method == "PUT" && path == "/heathshed/faults":
-		var f InventoryFaults
+		var f fault.Inventory
 		if err := json.Unmarshal(x.Body, &f); err != nil {
 			x.Respond(status(400, "BadRequest", "faults: "+err.Error()))
 			return
@@ -117,11 +114,27 @@
 	v.kick()
 }
 
+func (v *Inventory) tap(what, node string) {
+	if v.o.Tap != nil {
+		v.o.Tap(audit.Event{At: v.l.Now(), What: what, Node: node})
+	}
+}
+
 func (v *Inventory) show(o *corev1.Node, ready bool) {
 	if v.hidden[o.Name] || v.l.Now() < v.empty {
-		v.st.Delete(store.Nodes, "", o.Name)
+		if v.st.Delete(store.Nodes, "", o.Name) {
+			v.tap(audit.ListedGone, o.Name)
+		}
 		return
 	}
+	switch was, _ := v.st.Get(store.Nodes, "", o.Name).(*corev1.Node); {
+	case !ready:
+		v.tap(audit.ListedGone, o.Name)
+	case o.Spec.Unschedulable:
+		v.tap(audit.ListedDraining, o.Name)
+	case was == nil || was.Spec.Unschedulable || was.Status.Conditions[0].Status != corev1.ConditionTrue:
+		v.tap(audit.ListedReady, o.Name)
+	}
 	o = o.DeepCopy()
 	o.ResourceVersion = ""
 	if !ready {
@@ -152,6 +165,7 @@
 			delete(v.seen, name)
 			delete(v.last, name)
 			v.st.Delete(store.Nodes, "", name)
+			v.tap(audit.ListedGone, name)
 		case now-at > v.o.SilentAfter && cur != nil && cur.Status.Conditions[0].Status == corev1.ConditionTrue:
 			v.show(v.last[name], false)
 		}
@@ -162,10 +176,11 @@
 }
 
 // Fault makes the inventory faulty.
-func (v *Inventory) Fault(f InventoryFaults) {
+func (v *Inventory) Fault(f fault.Inventory) {
 	now := v.l.Now()
 	if f.Cut > 0 {
 		v.cut = now + f.Cut
+		v.tap(audit.CutOff, "")
 		v.http.Close()
 		var again func()
 		again = func() {
@@ -174,7 +189,9 @@
 			}
 			if err := v.listen(); err != nil {
 				v.l.After(0.1, again)
+				return
 			}
+			v.tap(audit.CutOver, "")
 		}
 		v.l.After(f.Cut, again)
 	}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -19,12 +19,14 @@
 	"k8s.io/apimachinery/pkg/types"
 
 	"heathshed/internal/api"
+	"heathshed/internal/audit"
 	"heathshed/internal/http1"
 	"heathshed/internal/httpc"
 	"heathshed/internal/httpd"
 	"heathshed/internal/loop"
 	"heathshed/internal/machine"
 	"heathshed/internal/meta"
+	"heathshed/internal/standin/fault"
 	"heathshed/internal/store"
 )
 
@@ -38,37 +40,7 @@
 	Priorities             map[string]int     // of classes
 	Lives                  map[string]float64 // seconds that tasks of a class run on average, where they name no lifetime
 	// Tap, if set, is told of each offer as it arrives and of what became of it.
-	Tap func(Tap)
-}
-
-// Tap is one thing that passed at a machine.
-type Tap struct {
-	At        float64 `json:"at"`
-	Node      string  `json:"node"`
-	What      string  `json:"what"` // up, offer, accept, refuse, start, end, stop, drain, undrain, crash, fall
-	Scheduler string  `json:"scheduler,omitempty"`
-	UID       string  `json:"uid,omitempty"`
-	Attempt   int     `json:"attempt,omitempty"`
-	Class     string  `json:"class,omitempty"`
-	Service   string  `json:"service,omitempty"`
-	Rack      string  `json:"rack,omitempty"`
-	Reason    string  `json:"reason,omitempty"`
-}
-
-// Faults are what a machine can be made to do wrong, each for so many seconds from now; 0 ends it. Class bounds Error to one
-// class. Crash takes the machine down for that long, with all it holds; it comes back cold. Drain is a state.
-type Faults struct {
-	Refuse     float64 `json:"refuse,omitempty"`
-	Stall      float64 `json:"stall,omitempty"`
-	LoseAnswer float64 `json:"loseAnswer,omitempty"` // accepts, and breaks the connection in place of the answer
-	Reset      float64 `json:"reset,omitempty"`      // breaks the connection before looking at the offer
-	Trickle    float64 `json:"trickle,omitempty"`    // holds each answer back for a second
-	Error      float64 `json:"error,omitempty"`
-	Class      string  `json:"class,omitempty"`
-	Crash      float64 `json:"crash,omitempty"`
-	Drain      *bool   `json:"drain,omitempty"`
-	// Cut makes the machine unreachable from schedulers while its tasks run on.
-	Cut float64 `json:"cut,omitempty"`
+	Tap func(audit.Event)
 }
 
 // Node is a stand-in machine on a socket.
@@ -149,14 +121,14 @@
 		return fmt.Errorf("machine %s: %w", n.o.Name, err)
 	}
 	n.http, n.addr = srv, srv.Addr()
-	n.tap(Tap{What: "up", Reason: map[bool]string{true: "cold", false: "warm"}[cold]})
+	n.tap(audit.Event{What: audit.Up, Reason: map[bool]string{true: "cold", false: "warm"}[cold]})
 	n.after()
 	return nil
 }
 
-func (n *Node) tap(t Tap) {
+func (n *Node) tap(t audit.Event) {
 	if n.o.Tap != nil {
-		t.At, t.Node, t.Rack = n.l.Now(), n.o.Name, n.o.Rack
+		t.At, t.Node, t.Rack, t.Zone = n.l.Now(), n.o.Name, n.o.Rack, n.o.Zone
 		n.o.Tap(t)
 	}
 }
@@ -272,22 +244,22 @@
 		t := x.Task
 		p := n.show(t)
 		n.st.Put(store.Pods, p)
-		tap := Tap{UID: t.UID, Attempt: t.Attempt, Scheduler: p.Labels[meta.Scheduler], Class: p.Labels[meta.Class], Service: t.Service,
+		tap := audit.Event{UID: t.UID, Attempt: t.Attempt, Scheduler: p.Labels[meta.Scheduler], Class: p.Labels[meta.Class], Service: t.Service,
 			Reason: reasons[t.Reason]}
 		switch t.Phase {
 		case machine.Accepted:
-			tap.What = "accept"
+			tap.What = audit.Accepted
 		case machine.Running:
-			tap.What = "start"
+			tap.What = audit.Started
 		default:
-			tap.What = "end"
+			tap.What = audit.Ended
 		}
 		n.tap(tap)
 	case machine.Forgotten:
 		p := x.Task.Payload.(*corev1.Pod)
 		n.st.Delete(store.Pods, p.Namespace, p.Name)
 	case machine.Fell:
-		n.tap(Tap{What: "fall"})
+		n.tap(audit.Event{What: audit.Fell})
 		n.down(30)
 	}
 }
@@ -321,7 +293,7 @@
 		b, _ := json.Marshal(p)
 		resp = http1.Response{Status: 201, Body: b}
 	} else {
-		n.tap(Tap{What: "refuse", UID: x.UID, Attempt: x.Attempt, Reason: reasons[x.Reason]})
+		n.tap(audit.Event{What: audit.Refused, UID: x.UID, Attempt: x.Attempt, Reason: reasons[x.Reason]})
 	}
 	n.respond(ex, resp)
 }
@@ -365,7 +337,7 @@
 	pods := len(parts) >= 5 && parts[0] == "api" && parts[2] == "namespaces" && parts[4] == "pods"
 	switch {
 	case x.Head.Method == "PUT" && path == "/heathshed/faults":
-		var f Faults
+		var f fault.Machine
 		if err := json.Unmarshal(x.Body, &f); err != nil {
 			n.respond(x, status(400, "BadRequest", "faults: "+err.Error()))
 			return
@@ -404,13 +376,16 @@
 		p.Annotations = map[string]string{}
 	}
 	class := p.Labels[meta.Class]
-	n.tap(Tap{What: "offer", UID: string(p.UID), Attempt: attempt, Scheduler: p.Labels[meta.Scheduler], Class: class,
+	n.tap(audit.Event{What: audit.Offered, UID: string(p.UID), Attempt: attempt, Scheduler: p.Labels[meta.Scheduler], Class: class,
 		Service: p.Namespace + "/" + service(p)})
+	hungUp := audit.Event{What: audit.HungUp, UID: string(p.UID), Attempt: attempt}
 	if now < n.reset {
+		n.tap(hungUp)
 		x.Reset()
 		return
 	}
 	if now < n.errs && (n.errClass == "" || n.errClass == class) {
+		n.tap(hungUp)
 		n.respond(x, status(500, "InternalError", "the machine fails"))
 		return
 	}
@@ -423,6 +398,7 @@
 		o.Life = n.o.Lives[class]
 	}
 	k := key(o.UID, attempt)
+	x.OnGone = func() { n.tap(hungUp) }
 	n.pending[k] = append(n.pending[k], x)
 	n.m.Offer(now, o)
 	n.after()
@@ -447,7 +423,9 @@
 	}
 	uid := string(*d.Preconditions.UID)
 	had, ran := n.m.Stop(n.l.Now(), uid, attempt)
-	n.tap(Tap{What: "stop", UID: uid, Attempt: attempt, Reason: fmt.Sprintf("had=%v ran=%v", had, ran)})
+	if !had {
+		n.tap(audit.Event{What: audit.Sealed, UID: uid, Attempt: attempt})
+	}
 	n.after()
 	if !had {
 		n.respond(x, status(404, "NotFound", "no such Pod; this attempt will not be taken any more"))
@@ -464,7 +442,7 @@
 }
 
 // Fault makes the machine faulty, or well again.
-func (n *Node) Fault(f Faults) {
+func (n *Node) Fault(f fault.Machine) {
 	now := n.l.Now()
 	set := func(p *float64, d float64) {
 		if d != 0 {
@@ -492,16 +470,14 @@
 	}
 	if f.Drain != nil && n.m != nil {
 		if *f.Drain {
-			n.tap(Tap{What: "drain"})
 			n.m.Drain(now)
 		} else {
-			n.tap(Tap{What: "undrain"})
 			n.m.Undrain(now)
 		}
 		n.after()
 	}
 	if f.Crash > 0 {
-		n.tap(Tap{What: "crash"})
+		n.tap(audit.Event{What: audit.Crashed})
 		n.down(f.Crash)
 	}
 }
