--- a/internal/api/write.go
+++ b/internal/api/write.go
@@ -340,7 +340,8 @@
 		defaultJob(j)
 		out, err = s.Engine.UpdateJob(s.now, j, dry)
 	} else {
-		out, err = s.Engine.UpdateNode(s.now, next.(*corev1.Node), dry)
+		n := next.(*corev1.Node)
+		out, err = s.Engine.UpdateNode(s.now, n, r.drainOrder(n, cur.(*corev1.Node)), dry)
 	}
 	if err != nil {
 		return http1.Response{}, r.fail(err, r.name)
@@ -348,6 +349,32 @@
 	return s.object(200, out)
 }
 
+// drainOrder says what a request orders about draining, nil if it does not speak of it. A patch speaks of it by naming the field,
+// a whole object by another value than the present one.
+func (r *request) drainOrder(next, cur *corev1.Node) *bool {
+	said := next.Spec.Unschedulable != cur.Spec.Unschedulable
+	var merge struct {
+		Spec map[string]json.RawMessage `json:"spec"`
+	}
+	var ops []struct {
+		Path string `json:"path"`
+	}
+	if r.Head.Method == "PATCH" {
+		if json.Unmarshal(r.Body, &merge) == nil {
+			_, named := merge.Spec["unschedulable"]
+			said = said || named
+		} else if json.Unmarshal(r.Body, &ops) == nil {
+			for _, op := range ops {
+				said = said || op.Path == "/spec/unschedulable"
+			}
+		}
+	}
+	if !said {
+		return nil
+	}
+	return ptr(next.Spec.Unschedulable)
+}
+
 // patched applies the body to the present object.
 func (s *Server) patched(r *request, cur, of store.Object) ([]byte, error) {
 	was, err := encode(cur)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -50,6 +50,7 @@
 	DefaultHistory     = 20000
 	DefaultMaxPods     = 200000
 	DefaultLostAfter   = 8.0
+	DefaultAskWithin   = 10.0
 	DefaultAdmitAtOnce = 256
 )
 
@@ -142,6 +143,9 @@
 	set(&cfg.History, DefaultHistory)
 	set(&cfg.MaxPods, DefaultMaxPods)
 	set(&cfg.AdmitAtOnce, DefaultAdmitAtOnce)
+	if cfg.Placer.AskWithin <= 0 {
+		cfg.Placer.AskWithin = DefaultAskWithin
+	}
 	if cfg.LostAfter <= 0 {
 		cfg.LostAfter = DefaultLostAfter
 	}
@@ -252,8 +256,9 @@
 	case placer.Fail:
 		e.answered(a.Task, owner.WasFailed, 0)
 	case placer.Wake:
+		// Never within the same instant: at this size of clock a wait below its grain would bring the same moment back.
 		token := a.Token
-		e.after(a.After, func() { e.feed(placer.Event{Kind: placer.Woken, Token: token}); e.drainQueue() })
+		e.after(max(a.After, 1e-6), func() { e.feed(placer.Event{Kind: placer.Woken, Token: token}); e.drainQueue() })
 	case placer.Watch, placer.Fetch:
 		e.effect(Effect{Kind: Relist})
 	case placer.Move:
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -29,6 +29,7 @@
 	labelled  bool // labels were set here
 	state     placer.NodeState
 	boot      string
+	past      []string // lives that are over: a late word of them says nothing
 	following bool // its Pods are watched and heard of
 	held      map[types.UID]*task
 	goneSince float64
@@ -52,7 +53,10 @@
 	e.begin(now)
 	defer e.end()
 	if kind == ListLost {
-		e.feed(placer.Event{Kind: placer.Listed, List: placer.ListFailed})
+		// Where the list is pushed nobody asked for it, and the adapter sees to it that it comes again.
+		if e.cfg.Placer.MustAsk {
+			e.feed(placer.Event{Kind: placer.Listed, List: placer.ListFailed})
+		}
 		return
 	}
 	seen := map[string]bool{}
@@ -76,8 +80,8 @@
 				e.effect(Effect{Kind: FollowNode, Node: n.name, Address: addr})
 			}
 		}
+		// The list is late: it may name a life that is over. Which life a machine is in only the machine itself says.
 		n.inv = o
-		e.learn(n, o.Status.NodeInfo.BootID)
 		changed = append(changed, n)
 	}
 	if kind == FullList {
@@ -171,13 +175,18 @@
 	n.following = false
 }
 
+const pastLives = 16
+
 // learn notes the identity of a machine's life. In a new life nothing of the old one runs.
 func (e *Engine) learn(n *node, boot string) {
-	if boot == "" || boot == n.boot {
+	if boot == "" || boot == n.boot || slices.Contains(n.past, boot) {
 		return
 	}
 	old := n.boot
 	n.boot = boot
+	if n.past = append(n.past, old); len(n.past) > pastLives {
+		n.past = n.past[1:]
+	}
 	if old == "" {
 		return
 	}
@@ -242,7 +251,8 @@
 }
 
 // UpdateNode takes the drain order and labels of a Node from the API; the drain counts as told at once.
-func (e *Engine) UpdateNode(now float64, o *corev1.Node, dry bool) (*corev1.Node, error) {
+// The argument order is the drain order, nil if the call gives none: a machine that the inventory drains shows as unschedulable without one.
+func (e *Engine) UpdateNode(now float64, o *corev1.Node, order *bool, dry bool) (*corev1.Node, error) {
 	e.begin(now)
 	defer e.end()
 	n := e.nodes[o.Name]
@@ -260,14 +270,17 @@
 	}
 	if dry {
 		next := cur.DeepCopy()
-		next.Labels, next.Spec.Unschedulable = o.Labels, o.Spec.Unschedulable
+		next.Labels = o.Labels
+		if order != nil {
+			next.Spec.Unschedulable = *order || n.inv != nil && n.inv.Spec.Unschedulable
+		}
 		return next, nil
 	}
 	if !maps.Equal(o.Labels, cur.Labels) {
 		n.labels, n.labelled = maps.Clone(o.Labels), true
 	}
-	if o.Spec.Unschedulable != cur.Spec.Unschedulable {
-		n.drained = o.Spec.Unschedulable
+	if order != nil && *order != n.drained {
+		n.drained = *order
 		e.feed(placer.Event{Kind: placer.Listed, List: placer.Changes, Nodes: []placer.Node{e.observe(n)}})
 		e.drainQueue()
 	}
