--- /dev/null
+++ b/cmd/heathshed/badday.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"heathshed/internal/badday"
+	"heathshed/internal/drill"
+	"heathshed/internal/model"
+	"heathshed/internal/settings"
+)
+
+func baddayCommand() *cobra.Command {
+	var f common
+	var script, dir string
+	var seconds, drop float64
+	var seed uint64
+	var asJSON, simulated, printScript bool
+	c := &cobra.Command{Use: "badday", Short: "Play a scripted bad day over sockets and audit the rules from what passed",
+		Long: "Start schedulers, stand-in machines and an inventory as processes on loopback, bring load and trouble by a script, and check\n" +
+			"the five rules from what passed over the sockets. Exit code 3 says that a rule was broken.\n\nKinds of trouble:\n" + kindsText(),
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			s, err := f.settings()
+			if err != nil {
+				return err
+			}
+			d := badday.Default()
+			if script != "" {
+				if d, err = settings.LoadScript(script); err != nil {
+					return err
+				}
+			}
+			if seconds > 0 {
+				scaleDay(&d, seconds)
+			}
+			if seed > 0 {
+				d.Seed = seed
+			}
+			if printScript {
+				return json.NewEncoder(c.OutOrStdout()).Encode(&d)
+			}
+			var r *drill.Result
+			if simulated {
+				r, err = playModel(&s, &d)
+			} else {
+				r, err = playSockets(c, &s, &d, dir, drop)
+			}
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				err = json.NewEncoder(c.OutOrStdout()).Encode(r)
+			} else {
+				printResult(c.OutOrStdout(), r)
+			}
+			if err == nil && len(r.Audit.Violations) > 0 {
+				err = &exitError{3, fmt.Errorf("%d violations of the rules", len(r.Audit.Violations))}
+			}
+			return err
+		}}
+	f.add(c)
+	c.Flags().StringVarP(&script, "script", "f", "", "script of the day; the built-in one if none")
+	c.Flags().StringVar(&dir, "dir", "", "folder that keeps settings, taps and logs; a temporary one that is removed if none")
+	c.Flags().Float64Var(&seconds, "seconds", 0, "length of the day; the script's times are stretched to it")
+	c.Flags().Float64Var(&drop, "drop-watch", 7, "seconds between deliberate breaks of the client's watches; 0 is none")
+	c.Flags().Uint64Var(&seed, "seed", 0, "seed in place of the script's")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the result as JSON")
+	c.Flags().BoolVar(&simulated, "simulated", false, "play it in simulated time in place of sockets")
+	c.Flags().BoolVar(&printScript, "print-script", false, "print the script and exit")
+	return c
+}
+
+func kindsText() string {
+	out := ""
+	for _, k := range slices.Sorted(maps.Keys(badday.Kinds)) {
+		out += fmt.Sprintf("  %-15s %s\n", k, badday.Kinds[k])
+	}
+	return out
+}
+
+// scaleDay moves the times of troubles so that the day has the given length. Their lengths stay, but fit the day.
+func scaleDay(d *badday.Script, seconds float64) {
+	k := seconds / d.Seconds
+	for i := range d.Trouble {
+		t := &d.Trouble[i]
+		t.At *= k
+		t.For = min(t.For, seconds/6)
+	}
+	d.Seconds = seconds
+	d.Calm = min(d.Calm, seconds/2)
+}
+
+func playModel(s *settings.Settings, d *badday.Script) (*drill.Result, error) {
+	cfg := model.FromSettings(s, d)
+	cfg.KeepEvents = true
+	w, err := model.New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	w.Run(d.Plan(cfg.NodesOf()), d.Seconds)
+	r := &drill.Result{Seconds: d.Seconds, Schedulers: d.Schedulers, Nodes: d.Nodes, Audit: w.Audit()}
+	r.Figures.Tasks = r.Audit.Tasks
+	for _, n := range r.Audit.Outcomes {
+		r.Figures.Settled += n
+	}
+	slices.Sort(w.Latency)
+	if n := len(w.Latency); n > 0 {
+		r.Figures.P50, r.Figures.P99, r.Figures.Max = w.Latency[n/2], w.Latency[n*99/100], w.Latency[n-1]
+	}
+	return r, nil
+}
+
+func playSockets(c *cobra.Command, s *settings.Settings, d *badday.Script, dir string, drop float64) (*drill.Result, error) {
+	exe, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "heathshed-badday-"); err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+	} else if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	s.LogLevel = "warn"
+	last := time.Now()
+	return drill.Run(ctx, drill.Options{Exe: exe, Dir: dir, Script: *d, Settings: *s, DropWatch: drop, Progress: func(at float64, f drill.Figures) {
+		if time.Since(last) > 10*time.Second {
+			last = time.Now()
+			fmt.Fprintf(c.ErrOrStderr(), "%5.0f s  jobs %d  tasks %d  settled %d  watches broken %d  schedulers killed %d  p50 %.3f s  p99 %.3f s\n",
+				at, f.Jobs, f.Tasks, f.Settled, f.Dropped, f.Kills, f.P50, f.P99)
+		}
+	}})
+}
+
+func printResult(w io.Writer, r *drill.Result) {
+	a, f := &r.Audit, &r.Figures
+	fmt.Fprintf(w, "day of %.0f s: %d schedulers, %d machines\n", r.Seconds, r.Schedulers, r.Nodes)
+	fmt.Fprintf(w, "tasks asked %d, placed %d, refused %d, failed %d, without outcome as their scheduler was killed or their owner withdrew %d\n", a.Tasks,
+		a.Outcomes["Placed"], a.Outcomes["Refused"], a.Outcomes["Failed"], a.Forgotten)
+	fmt.Fprintf(w, "offers %d, refused %d, starts %d, machine crashes %d, schedulers killed %d\n", a.Offers, a.Refusals, a.Starts, a.Crashes, f.Kills)
+	fmt.Fprintf(w, "client watches broken %d, lists anew %d, requests tried again %d\n", f.Dropped, f.Relisted, f.Errors)
+	fmt.Fprintf(w, "asked to settled: p50 %.4f s, p99 %.4f s, max %.4f s\n", f.P50, f.P99, f.Max)
+	fmt.Fprint(w, "ends:")
+	for _, k := range slices.Sorted(maps.Keys(a.Ends)) {
+		name := k
+		if k == "" {
+			name = "in order"
+		}
+		fmt.Fprintf(w, " %s %d,", name, a.Ends[k])
+	}
+	fmt.Fprintf(w, "\nrules: %d violations in %d events\n", len(a.Violations), a.Events)
+	for i, v := range a.Violations {
+		if i == 20 {
+			fmt.Fprintf(w, "  and %d more\n", len(a.Violations)-i)
+			break
+		}
+		fmt.Fprintf(w, "  %s\n", v)
+	}
+}
--- a/cmd/heathshed/run.go
+++ b/cmd/heathshed/run.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"heathshed/internal/audit"
 	"heathshed/internal/httpd"
 	"heathshed/internal/loop"
 	"heathshed/internal/scheduler"
@@ -261,15 +262,11 @@
 			if f.name != "" {
 				o.Name = f.name
 			}
-			if tapFile != "" {
-				w, err := os.OpenFile(tapFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
-				if err != nil {
-					return err
-				}
-				defer w.Close()
-				enc := json.NewEncoder(w)
-				o.Tap = func(t standin.Tap) { enc.Encode(&t) }
+			tap, err := tapTo(tapFile)
+			if err != nil {
+				return err
 			}
+			o.Tap = tap
 			n, err := standin.StartNode(l, o)
 			if err != nil {
 				return err
@@ -282,6 +279,7 @@
 	node.Flags().IntVar(&index, "index", 0, "number of the machine: gives its kind, rack and seed")
 	node.Flags().StringVar(&tapFile, "tap", "", "file that gets a line for each thing that passes")
 	var g common
+	var invTap string
 	inv := &cobra.Command{Use: "inventory", Short: "Run a stand-in inventory", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 		s, err := g.settings()
 		if err != nil {
@@ -291,8 +289,12 @@
 		if err != nil {
 			return err
 		}
+		tap, err := tapTo(invTap)
+		if err != nil {
+			return err
+		}
 		v, err := standin.StartInventory(l, standin.InventoryOptions{Listen: s.Inventory, Late: s.StandIn.Late, SilentAfter: s.StandIn.SilentAfter,
-			RemoveAfter: s.StandIn.RemoveAfter})
+			RemoveAfter: s.StandIn.RemoveAfter, Tap: tap})
 		if err != nil {
 			return err
 		}
@@ -301,10 +303,24 @@
 		return l.Run()
 	}}
 	g.add(inv)
+	inv.Flags().StringVar(&invTap, "tap", "", "file that gets a line for each thing that passes")
 	c.AddCommand(node, inv)
 	return c
 }
 
+// tapTo writes what passes to a file, a line each; nil for no file. Each line is written at once: the process may be killed.
+func tapTo(file string) (func(audit.Event), error) {
+	if file == "" {
+		return nil, nil
+	}
+	w, err := os.OpenFile(file, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("tap: %w", err)
+	}
+	enc := json.NewEncoder(w)
+	return func(t audit.Event) { enc.Encode(&t) }, nil
+}
+
 func configCommand() *cobra.Command {
 	c := &cobra.Command{Use: "config", Short: "Work with settings files"}
 	c.AddCommand(&cobra.Command{Use: "check FILE", Short: "Check a settings file", Args: cobra.ExactArgs(1),
