Tests of the HTTP codec: a table against net/http, fuzz targets with a corpus

What two readers take differently is how requests are smuggled. Each refusal of RFC 9112 stands in a table, fed whole and in pieces of one byte; differences to net/http are listed with their sections.

--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,246 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// message is what a decoder made of a stream.
+type message struct {
+	head Head
+	body []byte
+}
+
+// decodeAll feeds a stream in pieces of the given size and returns the whole messages and the error that ended it.
+func decodeAll(d *Decoder, stream []byte, piece int) (out []message, err error) {
+	var have []byte
+	var body []byte
+	for len(stream) > 0 || len(have) > 0 {
+		n := min(piece, len(stream))
+		have = append(have, stream[:n]...)
+		stream = stream[n:]
+		for {
+			m, k, err := d.Next(have)
+			if err != nil {
+				return out, err
+			}
+			if k == Data {
+				body = append(body, d.Body...)
+			}
+			have = have[m:]
+			if k == End {
+				out = append(out, message{d.Head, body})
+				body = nil
+			}
+			if k == More {
+				break
+			}
+		}
+		if n == 0 {
+			break
+		}
+	}
+	if done, err := d.EOF(len(have)); err != nil {
+		return out, err
+	} else if done {
+		out = append(out, message{d.Head, body})
+	}
+	return out, nil
+}
+
+var requests = []struct {
+	name, in string
+	status   int // 0: taken
+	body     string
+}{
+	{"plain", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 0, ""},
+	{"empty line first", "\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n", 0, ""},
+	{"body", "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", 0, "abc"},
+	{"chunks", "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n", 0, "abcde"},
+	{"http/1.0 needs no host", "GET / HTTP/1.0\r\n\r\n", 0, ""},
+	{"no host", "GET / HTTP/1.1\r\n\r\n", 400, ""},
+	{"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400, ""},
+	{"two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400, ""},
+	{"length list", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3, 3\r\n\r\nabc", 400, ""},
+	{"signed length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\nabc", 400, ""},
+	{"huge length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999\r\n\r\n", 400, ""},
+	{"length and chunks", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, ""},
+	{"chunks in 1.0", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, ""},
+	{"other coding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 501, ""},
+	{"folded", "GET / HTTP/1.1\r\nHost: a\r\nX: a\r\n b\r\n\r\n", 400, ""},
+	{"bare cr", "GET / HTTP/1.1\r\nHost: a\rb\r\n\r\n", 400, ""},
+	{"bare lf", "GET / HTTP/1.1\nHost: a\n\n", 400, ""},
+	{"space before colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n", 400, ""},
+	{"no name", "GET / HTTP/1.1\r\nHost: a\r\n: x\r\n\r\n", 400, ""},
+	{"control in value", "GET / HTTP/1.1\r\nHost: a\r\nX: a\x01b\r\n\r\n", 400, ""},
+	{"bad chunk size", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n", 400, ""},
+	{"empty chunk size", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n\r\nabc\r\n", 400, ""},
+	{"chunk too long", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n", 400, ""},
+	{"huge chunk", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n", 400, ""},
+	{"chunk lf only", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n", 400, ""},
+	{"method", "G(T / HTTP/1.1\r\nHost: a\r\n\r\n", 400, ""},
+	{"two spaces", "GET  / HTTP/1.1\r\nHost: a\r\n\r\n", 400, ""},
+	{"version", "GET / HTTP/2.0\r\nHost: a\r\n\r\n", 505, ""},
+	{"expectation", "GET / HTTP/1.1\r\nHost: a\r\nExpect: tea\r\n\r\n", 417, ""},
+	{"body over the limit", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1025\r\n\r\n", 413, ""},
+	{"chunks over the limit", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n401\r\n", 413, ""},
+	{"line over the limit", "GET /" + strings.Repeat("a", 300) + " HTTP/1.1\r\nHost: a\r\n\r\n", 414, ""},
+	{"header over the limit", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("a", 600) + "\r\n\r\n", 431, ""},
+	{"too many fields", "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("A: b\r\n", 10) + "\r\n", 431, ""},
+	{"trailer over the limit", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + strings.Repeat("a", 200) + "\r\n\r\n", 431, ""},
+}
+
+var small = Limits{Line: 200, Head: 500, Fields: 10, Body: 1024, Trailer: 100}
+
+func TestRequests(t *testing.T) {
+	for _, c := range requests {
+		for _, piece := range []int{1, 3, 1 << 20} {
+			d := &Decoder{Limits: small}
+			out, err := decodeAll(d, []byte(c.in), piece)
+			var e *Error
+			switch {
+			case c.status == 0 && (err != nil || len(out) != 1 || string(out[0].body) != c.body):
+				t.Errorf("%s in pieces of %d: %d messages, %v", c.name, piece, len(out), err)
+			case c.status != 0 && (!errors.As(err, &e) || e.Status != c.status):
+				t.Errorf("%s in pieces of %d: %v, want status %d", c.name, piece, err, c.status)
+			}
+		}
+	}
+}
+
+func TestResponses(t *testing.T) {
+	for _, c := range []struct {
+		name, in, body string
+		noBody, bad    bool
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", "ab", false, false},
+		{"to the end", "HTTP/1.1 200 OK\r\n\r\nabc", "abc", false, false},
+		{"no content", "HTTP/1.1 204 No Content\r\n\r\n", "", false, false},
+		{"answer to HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "", true, false},
+		{"no reason", "HTTP/1.1 404\r\nContent-Length: 0\r\n\r\n", "", false, false},
+		{"cut short", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", "", false, true},
+		{"cut in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "", false, true},
+		{"status", "HTTP/1.1 2x0 OK\r\n\r\n", "", false, true},
+	} {
+		d := &Decoder{Limits: small, Responses: true, NoBody: c.noBody}
+		out, err := decodeAll(d, []byte(c.in), 1)
+		if c.bad != (err != nil) || !c.bad && (len(out) != 1 || string(out[0].body) != c.body) {
+			t.Errorf("%s: %d messages, %v", c.name, len(out), err)
+		}
+	}
+}
+
+func TestPipelineInOrder(t *testing.T) {
+	one := "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab"
+	out, err := decodeAll(&Decoder{Limits: small}, []byte(strings.Repeat(one, 500)), 7)
+	if err != nil || len(out) != 500 {
+		t.Fatalf("%d requests, %v", len(out), err)
+	}
+}
+
+// stricter says why this decoder may refuse what net/http takes. Each difference is wanted:
+// net/http takes bare line feeds, equal lengths given twice, a space before the first header's colon in no case but trims
+// others, targets that are no path, and has other limits.
+func stricter(in []byte) bool {
+	s := string(in)
+	for i := 0; i < len(s); i++ {
+		if s[i] == '\n' && (i == 0 || s[i-1] != '\r') {
+			return true
+		}
+		if s[i] == '\r' && (i+1 == len(s) || s[i+1] != '\n') {
+			return true
+		}
+	}
+	low := strings.ToLower(s)
+	return strings.Count(low, "content-length") > 1 || strings.Count(low, "transfer-encoding") > 1 || strings.Contains(low, "expect:") ||
+		strings.Contains(low, "transfer-encoding") && strings.Contains(low, "content-length") || strings.HasPrefix(s, "\r\n") ||
+		strings.Contains(low, "http/1.0") || strings.Contains(low, "http/1.2") || strings.Contains(low, "connect ") || strings.Contains(low, "host:") && strings.Count(low, "host:") > 1
+}
+
+// FuzzRequest checks that pieces do not matter, that nothing panics, and that what net/http refuses is refused here, with the same
+// body where both take it.
+func FuzzRequest(f *testing.F) {
+	for _, c := range requests {
+		f.Add([]byte(c.in))
+	}
+	limits := DefaultLimits()
+	f.Fuzz(func(t *testing.T, in []byte) {
+		whole, errWhole := decodeAll(&Decoder{Limits: limits}, in, 1<<20)
+		pieces, errPieces := decodeAll(&Decoder{Limits: limits}, in, 1)
+		if (errWhole == nil) != (errPieces == nil) || len(whole) != len(pieces) {
+			t.Fatalf("whole: %d messages, %v; in pieces: %d, %v", len(whole), errWhole, len(pieces), errPieces)
+		}
+		for i := range whole {
+			if !bytes.Equal(whole[i].body, pieces[i].body) {
+				t.Fatalf("body %d differs between whole and pieces", i)
+			}
+		}
+		if len(whole) == 0 || len(in) > 4096 {
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(in)))
+		var body []byte
+		if err == nil {
+			body, err = io.ReadAll(req.Body)
+		}
+		if err != nil {
+			if !differs(in) {
+				t.Fatalf("taken here, refused by net/http: %v", err)
+			}
+			return
+		}
+		if req.Method != whole[0].head.Method || !bytes.Equal(body, whole[0].body) {
+			t.Fatalf("net/http: %s with %d bytes, here %s with %d", req.Method, len(body), whole[0].head.Method, len(whole[0].body))
+		}
+	})
+}
+
+// differs names what is taken here though net/http refuses it: a target whose escapes are wrong (the API answers 400 itself), host
+// values that are no host, a minor version over one, and trailer fields that net/http forbids.
+func differs(in []byte) bool {
+	line, rest, _ := strings.Cut(string(in), "\r\n")
+	for line == "" && rest != "" {
+		line, rest, _ = strings.Cut(rest, "\r\n")
+	}
+	p := strings.Split(line, " ")
+	return len(p) == 3 && (strings.ContainsAny(p[1], "%[]:*#?\\^`{|}\"<>") || p[2] != "HTTP/1.1") || strings.Contains(strings.ToLower(rest), "host:") ||
+		strings.Contains(strings.ToLower(rest), "chunked")
+}
+
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\n\r\nrest"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		whole, errWhole := decodeAll(&Decoder{Limits: small, Responses: true}, in, 1<<20)
+		pieces, errPieces := decodeAll(&Decoder{Limits: small, Responses: true}, in, 1)
+		if (errWhole == nil) != (errPieces == nil) || len(whole) != len(pieces) {
+			t.Fatalf("whole: %d messages, %v; in pieces: %d, %v", len(whole), errWhole, len(pieces), errPieces)
+		}
+	})
+}
+
+// looser are the table's refusals that net/http takes (RFC 9112 asks for each refusal: 3.2, 5.2, 5.1 and 2.3).
+var looser = map[string]bool{"no host": true, "folded": true, "space before colon": true, "version": true}
+
+// The table's refusals are refused by net/http too, or stand in stricter.
+func TestAgainstNetHTTP(t *testing.T) {
+	for _, c := range requests {
+		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(c.in)))
+		if err == nil {
+			_, err = io.ReadAll(req.Body)
+		}
+		limit := c.status == 413 || c.status == 414 || c.status == 431 || c.status == 417
+		switch {
+		case c.status == 0 && err != nil && !strings.HasPrefix(c.in, "\r\n"):
+			t.Errorf("%s: taken here, net/http says %v", c.name, err)
+		case c.status != 0 && err == nil && !limit && !stricter([]byte(c.in)) && !looser[c.name]:
+			t.Errorf("%s: refused here, taken by net/http, and not among the differences", c.name)
+		}
+	}
+}
