--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -1,29 +1,20 @@
 package model
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"heathshed/internal/badday"
+	"heathshed/internal/proptest"
 	"heathshed/internal/settings"
 	"heathshed/internal/store"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, v := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			flag.Set(name, v)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, "60") }
 
 func play(t interface{ Fatal(...any) }, d badday.Script, change func(*Config)) *World {
 	s := settings.Default()
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,51 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestErrorsNameTheirPlace(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"nothing", `{}`, ""},
+		{"comments", "// c\n{\n  /* d */ \"name\": \"a\", // e\n}\n", ""},
+		{"unknown", "{\n  \"naem\": \"a\"\n}", "f:2:3: naem: no such setting"},
+		{"twice", "{\n  \"name\": \"a\",\n  \"name\": \"b\"\n}", "f:3:3: name: given twice"},
+		{"type", "{\n  \"name\": 3\n}", "f:2:11: name: 3, want a string"},
+		{"whole number", `{"peers": 1.5}`, "f:1:11: peers: 1.5, want a whole number"},
+		{"list", `{"classes": {}}`, "f:1:13: classes: an object, want a list"},
+		{"nested", "{\"classes\": [\n {\"name\": \"x\", \"effect\": \"maybe\"}]}", "f:2:26: classes[0].effect: \"maybe\": want idempotent"},
+		{"nested unknown", `{"rules": {"grace": 1}}`, "f:1:12: rules.grace: no such setting"},
+		{"range", "{\n\"rules\": {\n\"answerSlack\": 0}}", "f:3:16: rules.answerSlack: 0: want 0.01 to 10"},
+		{"not loopback", `{"listen": "0.0.0.0:80"}`, "f:1:12: listen"},
+		{"self", `{"peers": 2, "self": 2}`, "f:1:22: self: want 0 to 1"},
+		{"default class", `{"defaultClass": "x"}`, "f:1:18: defaultClass"},
+		{"absent field of a class", `{"classes": [{"name": "a", "effect": "idempotent", "aim": 1}], "defaultClass": "a"}`, "classes[0].deadline"},
+		{"broken", "{\n  \"name\": }", "f:"},
+		{"shares", `{"tenants": [{"name": "a", "share": 0.6}, {"name": "b", "share": 0.6}]}`, "tenants[1].share"},
+	} {
+		_, err := Parse("f", []byte(c.text))
+		switch {
+		case c.want == "" && err != nil:
+			t.Errorf("%s: %v", c.name, err)
+		case c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)):
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+}
+
+// What is printed can be read back, to the same.
+func TestPrintedSettingsAreRead(t *testing.T) {
+	s := Default()
+	a, err := s.Text()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Parse("f", a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, _ := r.Text(); string(a) != string(b) {
+		t.Error("printed settings differ after reading")
+	}
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,121 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	corev1 "k8s.io/api/core/v1"
+	"pgregory.net/rapid"
+
+	"heathshed/internal/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, "200") }
+
+func pod(ns, name string) *corev1.Pod {
+	p := &corev1.Pod{}
+	p.Namespace, p.Name = ns, name
+	return p
+}
+
+// Random changes: revisions grow by one, a snapshot never changes, snapshot plus history is the state, pages are one snapshot.
+func TestStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base := rapid.Int64Range(0, 1e15).Draw(t, "base")
+		keep := rapid.IntRange(1, 50).Draw(t, "keep")
+		s := New(base, keep)
+		want := map[string]Object{}
+		var old Snapshot
+		var oldWant map[string]Object
+		for i := range rapid.IntRange(1, 120).Draw(t, "n") {
+			ns, name := fmt.Sprint("ns", i%3), fmt.Sprint("p", rapid.IntRange(0, 15).Draw(t, "name"))
+			rev := s.Rev()
+			if rapid.IntRange(0, 3).Draw(t, "op") == 0 {
+				_, had := want[Key(ns, name)]
+				if s.Delete(Pods, ns, name) != had {
+					t.Fatal("delete and state disagree")
+				}
+				delete(want, Key(ns, name))
+				if had != (s.Rev() == rev+1) {
+					t.Fatal("revision")
+				}
+			} else {
+				p := pod(ns, name)
+				want[Key(ns, name)] = p
+				if s.Put(Pods, p); s.Rev() != rev+1 || p.ResourceVersion != fmt.Sprint(s.Rev()) {
+					t.Fatal("revision")
+				}
+			}
+			if i == 10 {
+				old, oldWant = s.Snapshot(Pods), map[string]Object{}
+				for k, v := range want {
+					oldWant[k] = v
+				}
+			}
+		}
+		check := func(sn Snapshot, want map[string]Object) {
+			n, last := 0, ""
+			sn.Scan("", "", func(k string, c *Change) bool {
+				if want[k] != c.Object || k <= last && last != "" {
+					t.Fatalf("%s is not what was put, or out of order", k)
+				}
+				n++
+				last = k
+				return true
+			})
+			if n != len(want) {
+				t.Fatalf("%d objects, want %d", n, len(want))
+			}
+		}
+		check(s.Snapshot(Pods), want)
+		if oldWant == nil {
+			return
+		}
+		check(old, oldWant)
+		changes, err := s.Since(Pods, old.Rev, 1000)
+		if errors.Is(err, ErrExpired) {
+			if s.Rev()-old.Rev <= int64(keep) {
+				t.Fatal("history is gone too soon")
+			}
+			return
+		}
+		for _, c := range changes {
+			k := Key(c.Object.GetNamespace(), c.Object.GetName())
+			if prev, had := oldWant[k]; had != (c.Op != Added) || had && prev != c.Prev {
+				t.Fatalf("revision %d does not follow", c.Rev)
+			}
+			if c.Op == Deleted {
+				delete(oldWant, k)
+			} else {
+				oldWant[k] = c.Object
+			}
+		}
+		check(s.Snapshot(Pods), oldWant)
+	})
+}
+
+func TestSinceBounds(t *testing.T) {
+	s := New(100, 3)
+	for i := range 5 {
+		s.Put(Pods, pod("a", fmt.Sprint(i)))
+	}
+	if _, err := s.Since(Pods, 101, 10); !errors.Is(err, ErrExpired) {
+		t.Errorf("101: %v, want expired", err)
+	}
+	if _, err := s.Since(Pods, 106, 10); !errors.Is(err, ErrFuture) {
+		t.Errorf("106: %v, want future", err)
+	}
+	if c, err := s.Since(Pods, 102, 2); err != nil || len(c) != 2 || c[0].Rev != 103 {
+		t.Errorf("102: %v, %v", c, err)
+	}
+	sn := s.Snapshot(Pods)
+	s.Keep(1000, sn)
+	s.Put(Pods, pod("a", "later"))
+	if got, err := s.Kept(1001, Pods, sn.Rev); err != nil || got.Len() != 5 {
+		t.Errorf("kept: %v", err)
+	}
+	if _, err := s.Kept(1000+keptFor+1, Pods, sn.Rev); !errors.Is(err, ErrExpired) {
+		t.Errorf("kept too long: %v", err)
+	}
+}
