Hard cases over sockets; news that overtakes an answer counts; watches are told in batches

End-to-end tests with the public clientset and informers, lost answers, kills, deletes with offers out, cut watches, 10,000 pipelined requests, 5,000 watches beside a Job of 10,000 tasks. They found: a Pod seen running before the answer to its offer stayed Pending for ever, a later attempt of a task stopped at a machine was answered as accepted, and telling 5,000 idle watches of each change took 57% of the loop.

--- a/internal/api/read.go
+++ b/internal/api/read.go
@@ -267,6 +267,15 @@
 	return http1.Response{Status: 200, Header: []http1.Field{{Name: "Content-Type", Value: jsonType}}, Stream: w}, nil
 }
 
+// KickDelay is how long changes may gather before watches are told of them, in seconds: nothing while watches are few, a few
+// microseconds for each when they are many, so that telling them takes a bounded part of the time whatever the rate of changes.
+func KickDelay(watches int) float64 {
+	if watches <= 50 {
+		return 0
+	}
+	return min(float64(watches)*4e-6, 0.05)
+}
+
 // Watchers is the number of open watches.
 func (s *Server) Watchers() int { return len(s.watchers) }
 
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -30,7 +30,7 @@
 	state     placer.NodeState
 	boot      string
 	past      []string // lives that are over: a late word of them says nothing
-	following bool // its Pods are watched and heard of
+	following bool     // its Pods are watched and heard of
 	held      map[types.UID]*task
 	goneSince float64
 	shownAt   float64
@@ -358,8 +358,8 @@
 		return
 	}
 	if at := t.open; at != nil && at.n == n {
-		// Its answer is on the way, or is about to be lost.
-		at.seen, at.boot, at.rev = !over, n.boot, podRev(p)
+		// Its answer is on the way, or is about to be lost: what the watch says meanwhile counts once that is known.
+		at.boot, at.rev, at.last, at.lastGone = n.boot, podRev(p), p, deleted
 		return
 	}
 	if h := t.holder; h != nil && h.n == n {
@@ -370,11 +370,7 @@
 		if at.n != n {
 			continue
 		}
-		if over {
-			e.resolved(at, p.Status.Reason != meta.NeverRan)
-		} else {
-			e.found(at, n.boot, podRev(p))
-		}
+		e.doubtful(at, n.boot, p, deleted)
 		return
 	}
 	if !over {
@@ -382,6 +378,19 @@
 	}
 }
 
+// doubtful takes what a machine shows of an attempt in doubt.
+func (e *Engine) doubtful(at *attempt, boot string, p *corev1.Pod, deleted bool) {
+	if deleted || meta.Finished(p) {
+		e.resolved(at, p.Status.Reason != meta.NeverRan)
+		return
+	}
+	t := at.t
+	e.found(at, boot, podRev(p))
+	if t.holder != nil && t.holder.n == at.n {
+		e.follow(t, p, false)
+	}
+}
+
 // follow takes news of a held task.
 func (e *Engine) follow(t *task, p *corev1.Pod, deleted bool) {
 	switch {
--- a/internal/engine/tasks.go
+++ b/internal/engine/tasks.go
@@ -63,21 +63,22 @@
 
 // attempt is one offer, or a task found running.
 type attempt struct {
-	a       *ask
-	t       *task
-	seq     int // number within the ask
-	number  int // number within the task; what machines are told
-	n       *node
-	seen    bool // the machine's watch showed it while it was open
-	sent    float64
-	until   float64
-	timer   *timer
-	told    bool // the placer has its outcome
-	boot    string
-	rev     int64 // the machine's revision at acceptance
-	fence   *timer
-	fencing bool
-	tries   int
+	a        *ask
+	t        *task
+	seq      int // number within the ask
+	number   int // number within the task; what machines are told
+	n        *node
+	last     *corev1.Pod // what the machine's watch showed while it was open
+	lastGone bool
+	sent     float64
+	until    float64
+	timer    *timer
+	told     bool // the placer has its outcome
+	boot     string
+	rev      int64 // the machine's revision at acceptance
+	fence    *timer
+	fencing  bool
+	tries    int
 }
 
 func (t *task) inDoubt() bool { return len(t.doubts) > 0 }
@@ -177,8 +178,9 @@
 	Reason   placer.Reason
 	Stated   string // the machine's own words
 	Report   *placer.Report
-	Boot     string // identity of the machine's life
-	Rev      int64  // the machine's revision of the Pod
+	Boot     string      // identity of the machine's life
+	Rev      int64       // the machine's revision of the Pod
+	Pod      *corev1.Pod // as the machine shows it, where it was accepted
 }
 
 // OfferDone takes the answer to an offer.
@@ -251,10 +253,21 @@
 	e.Stats.Accepted++
 	t.open = nil
 	e.stopTimer(at.timer)
-	at.boot, at.rev = ans.Boot, ans.Rev
+	if at.last == nil || at.boot != ans.Boot {
+		at.last, at.rev = nil, 0
+	}
+	at.boot = ans.Boot
 	e.feed(placer.Event{Kind: placer.Bound, ID: at.a.id, Attempt: at.seq, Node: at.n.id, Elapsed: e.now - at.sent})
 	at.a.answered = true
 	e.hold(t, at)
+	// News that overtook the answer, or came with it.
+	if p := at.last; p != nil && at.rev > ans.Rev {
+		e.follow(t, p, at.lastGone)
+	} else if p := ans.Pod; p != nil {
+		e.follow(t, p, false)
+	}
+	at.last = nil
+	at.rev = ans.Rev
 }
 
 // hold notes that a machine holds the task and settles it as placed.
@@ -304,10 +317,10 @@
 		e.fence(at)
 		return
 	}
-	if at.seen {
+	if at.last != nil {
 		e.after(0, func() {
 			if at.isDoubt() {
-				e.found(at, at.boot, at.rev)
+				e.doubtful(at, at.boot, at.last, at.lastGone)
 				e.drainQueue()
 			}
 		})
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -94,9 +94,7 @@
 // Close ends all at once.
 func (s *Server) Close() {
 	s.ln.Close()
-	for c := range s.conns {
-		c.lc.Close()
-	}
+	s.CloseConns()
 }
 
 // conn is one connection; it answers one request at a time, in order.
@@ -381,3 +379,10 @@
 	}
 	c.x = nil
 }
+
+// CloseConns breaks every open connection; the server goes on.
+func (s *Server) CloseConns() {
+	for c := range s.conns {
+		c.lc.Close()
+	}
+}
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -130,6 +130,8 @@
 	queue    []Offer
 	looking  bool
 	tasks    map[string]*Task
+	held     []*Task        // in order of acceptance; ended ones are taken out at the next breath
+	running  map[string]int // tasks that run, by service
 	sealed   map[string]int // attempts up to this are not taken any more
 	order    []string       // of sealed, oldest first
 	programs []string
@@ -157,7 +159,7 @@
 // New makes a machine that comes up now.
 func New(cfg Config, now float64) *Machine {
 	m := &Machine{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x6d616368)), now: now, born: now, tasks: map[string]*Task{},
-		sealed: map[string]int{}, begun: map[string]bool{}}
+		sealed: map[string]int{}, begun: map[string]bool{}, running: map[string]int{}}
 	if !cfg.Cold {
 		m.born = now - cfg.WarmWithin
 	}
@@ -209,7 +211,7 @@
 // Holds is the number of tasks held.
 func (m *Machine) Holds() int {
 	n := 0
-	for _, t := range m.tasks {
+	for _, t := range m.held {
 		if t.Phase <= Running {
 			n++
 		}
@@ -243,7 +245,7 @@
 	if m.fell {
 		return
 	}
-	if t := m.tasks[o.UID]; t != nil {
+	if t := m.tasks[o.UID]; t.repeats(&o) {
 		// A repeat starts nothing.
 		m.emit(Effect{Kind: Answered, UID: o.UID, Attempt: o.Attempt, Task: t})
 		return
@@ -305,8 +307,13 @@
 // StallUntil holds every decision and start back until then.
 func (m *Machine) StallUntil(t float64) { m.stall = t }
 
+// repeats says whether an offer repeats one that was accepted: a later attempt of a task that ended here does not.
+func (t *Task) repeats(o *Offer) bool {
+	return t != nil && (t.Phase <= Running || o.Attempt <= t.Attempt)
+}
+
 func (m *Machine) decide(o *Offer) {
-	if t := m.tasks[o.UID]; t != nil {
+	if t := m.tasks[o.UID]; t.repeats(o) {
 		m.emit(Effect{Kind: Answered, UID: o.UID, Attempt: o.Attempt, Task: t})
 		return
 	}
@@ -330,6 +337,7 @@
 	span := m.cfg.UseMax - m.cfg.UseMin
 	t := &Task{Offer: *o, factorCores: m.cfg.UseMin + span*m.rng.Float64(), factorMem: m.cfg.UseMin + span*m.rng.Float64(), seq: m.seq}
 	m.tasks[o.UID] = t
+	m.held = append(m.held, t)
 	m.asked.cores += o.Cores
 	m.asked.memory += o.Memory
 	m.emit(Effect{Kind: Changed, Task: t})
@@ -389,14 +397,8 @@
 
 // live returns the tasks held, oldest first.
 func (m *Machine) live() []*Task {
-	var out []*Task
-	for _, t := range m.tasks {
-		if t.Phase <= Running {
-			out = append(out, t)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].seq < out[j].seq })
-	return out
+	m.held = slices.DeleteFunc(m.held, func(t *Task) bool { return t.Phase > Running })
+	return slices.Clone(m.held)
 }
 
 // start begins as many starts as may go on at a time.
@@ -427,15 +429,7 @@
 
 // has says whether the program of the task's service is at hand.
 func (m *Machine) has(t *Task) bool {
-	if slices.Contains(m.programs, t.Service) {
-		return true
-	}
-	for _, o := range m.tasks {
-		if o != t && o.Service == t.Service && o.Phase == Running {
-			return true
-		}
-	}
-	return false
+	return m.running[t.Service] > 0 || slices.Contains(m.programs, t.Service)
 }
 
 func (m *Machine) runs(t *Task) {
@@ -443,7 +437,8 @@
 		return
 	}
 	t.Phase, t.ran, t.startedAt = Running, true, m.now
-	m.measure()
+	m.running[t.Service]++
+	m.use(t)
 	m.emit(Effect{Kind: Changed, Task: t})
 	m.answer(t)
 	life := t.Life
@@ -461,7 +456,12 @@
 	if t.Phase > Running {
 		return
 	}
+	m.used.cores -= t.UseCores
+	m.used.memory -= t.UseMemory
 	if t.Phase == Running {
+		if m.running[t.Service]--; m.running[t.Service] <= 0 {
+			delete(m.running, t.Service)
+		}
 		if i := slices.Index(m.programs, t.Service); i >= 0 {
 			m.programs = slices.Delete(m.programs, i, i+1)
 		}
@@ -474,7 +474,6 @@
 	t.Phase, t.Reason, t.endedAt = p, r, m.now
 	m.asked.cores -= t.Cores
 	m.asked.memory -= t.Memory
-	m.measure()
 	if !t.answered {
 		t.answered = true
 		m.emit(Effect{Kind: Answered, UID: t.UID, Attempt: t.Attempt, Reason: NotHere})
@@ -482,8 +481,10 @@
 	m.emit(Effect{Kind: Changed, Task: t})
 	m.seal(t.UID, t.Attempt)
 	m.at(m.now+m.cfg.KeepEnded, func() {
-		delete(m.tasks, t.UID)
-		m.emit(Effect{Kind: Forgotten, Task: t})
+		if m.tasks[t.UID] == t {
+			delete(m.tasks, t.UID)
+			m.emit(Effect{Kind: Forgotten, Task: t})
+		}
 	})
 }
 
@@ -570,20 +571,27 @@
 	m.at(m.now+1, m.breathe)
 }
 
-// measure adds up what is in use. Memory grows over three seconds after a start.
+// measure adds up what is in use.
 func (m *Machine) measure() {
 	m.used.cores, m.used.memory = 0, 0
 	for _, t := range m.live() {
-		if t.Phase != Running {
-			continue
+		if t.Phase == Running {
+			t.UseCores, t.UseMemory = 0, 0
+			m.use(t)
 		}
-		t.UseCores = t.Cores * t.factorCores
-		t.UseMemory = t.Memory * t.factorMem * min(1, 0.4+0.2*(m.now-t.startedAt))
-		m.used.cores += t.UseCores
-		m.used.memory += t.UseMemory
 	}
 }
 
+// use brings what a task uses up to date. Memory grows over three seconds after a start.
+func (m *Machine) use(t *Task) {
+	m.used.cores -= t.UseCores
+	m.used.memory -= t.UseMemory
+	t.UseCores = t.Cores * t.factorCores
+	t.UseMemory = t.Memory * t.factorMem * min(1, 0.4+0.2*(m.now-t.startedAt))
+	m.used.cores += t.UseCores
+	m.used.memory += t.UseMemory
+}
+
 type timer struct {
 	at  float64
 	seq int
--- /dev/null
+++ b/internal/scheduler/hardcases_test.go
@@ -0,0 +1,389 @@
+//go:build linux
+
+package scheduler
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	batchv1 "k8s.io/api/batch/v1"
+	corev1 "k8s.io/api/core/v1"
+
+	"heathshed/internal/audit"
+	"heathshed/internal/badday"
+	"heathshed/internal/meta"
+	"heathshed/internal/settings"
+	"heathshed/internal/standin/fault"
+	"heathshed/internal/store"
+)
+
+// An accepted offer whose answer is lost: a task that must not run twice is found running and adopted, one that may is asked again
+// and its copy stopped; each settles as placed, and runs once in the end.
+func TestLostAnswers(t *testing.T) {
+	for _, class := range []string{"once", "keyed", "web"} {
+		t.Run(class, func(t *testing.T) {
+			c := start(t, func(s *settings.Settings) { s.Owner.Settle = 1 })
+			c.fault(fault.Machine{LoseAnswer: 0.4})
+			c.submit(badday.Job{Name: "a", Class: class, Service: "s", Tasks: 6, Cores: 0.5, Memory: 0.5, Life: 60, Backoff: 6})
+			c.eventually("settled", func() bool { return settled(c.job("a")) != "" })
+			if r := settled(c.job("a")); r != meta.Placed {
+				t.Errorf("settled as %s", r)
+			}
+			c.eventually("all run once", func() bool {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				live := map[string]int{}
+				for _, ev := range c.events {
+					switch ev.What {
+					case audit.Accepted:
+						live[ev.UID]++
+					case audit.Ended:
+						live[ev.UID]--
+					}
+				}
+				for _, n := range live {
+					if n != 1 {
+						return false
+					}
+				}
+				return len(live) == 6
+			})
+			c.audit()
+		})
+	}
+}
+
+// Nothing answers until the deadline: every task has its one final answer, and one that must not run twice is not refused but failed.
+func TestDeadlineOnTimeout(t *testing.T) {
+	for class, want := range map[string]string{"web": meta.Refused, "once": meta.Failed} {
+		t.Run(class, func(t *testing.T) {
+			c := start(t, func(s *settings.Settings) {
+				for i := range s.Classes {
+					s.Classes[i].Deadline = 1
+				}
+				s.Owner.Settle = 0.3
+			})
+			c.fault(fault.Machine{Stall: 3})
+			c.submit(badday.Job{Name: "a", Class: class, Service: "s", Tasks: 5, Cores: 0.5, Memory: 0.5, Life: 60, Backoff: 0})
+			c.eventually("settled", func() bool { return settled(c.job("a")) != "" })
+			for _, p := range c.pods("") {
+				if r := meta.SettledOf(&p); r != want && r != meta.Failed {
+					t.Errorf("%s: %s", p.Name, r)
+				}
+			}
+			c.eventually("the Job ends", func() bool { return has(c.job("a"), batchv1.JobFailed) })
+			c.audit()
+		})
+	}
+}
+
+func TestAllMachinesRefuse(t *testing.T) {
+	c := start(t, func(s *settings.Settings) {
+		s.Classes[1].Deadline = 1.5
+	})
+	c.fault(fault.Machine{Refuse: 100})
+	c.submit(badday.Job{Name: "a", Class: "batch", Service: "s", Tasks: 5, Cores: 0.5, Memory: 0.5, Life: 60, Backoff: 1})
+	c.eventually("settled", func() bool { return settled(c.job("a")) != "" })
+	if r := settled(c.job("a")); r != meta.Refused {
+		t.Errorf("settled as %s, want Refused: none may have run", r)
+	}
+	for _, p := range c.pods("") {
+		if !strings.Contains(p.Status.Message, "resource: cpu") {
+			t.Errorf("%s does not say why: %q", p.Name, p.Status.Message)
+		}
+	}
+	c.audit()
+}
+
+// The scheduler is killed with tasks running and started again: it takes them over and starts none of them anew.
+func TestKilledAndStartedAgain(t *testing.T) {
+	c := start(t, nil)
+	for _, class := range []string{"once", "batch"} {
+		c.submit(badday.Job{Name: class, Class: class, Service: class, Tasks: 8, Cores: 0.5, Memory: 0.5, Life: 60, Backoff: 3})
+	}
+	c.eventually("all run", func() bool { return len(c.pods("?fieldSelector=status.phase=Running")) == 16 })
+	before := map[string]bool{}
+	for _, p := range c.pods("") {
+		before[string(p.UID)] = true
+	}
+	rev := c.sch.Rev()
+	c.kill()
+	c.up()
+	after := c.pods("")
+	for _, p := range after {
+		if !before[string(p.UID)] || meta.SettledOf(&p) != meta.Placed {
+			t.Errorf("%s after the restart: settled as %q", p.Name, meta.SettledOf(&p))
+		}
+	}
+	if len(after) != 16 || c.seen(audit.Started) != 16 {
+		t.Errorf("%d Pods after the restart, %d starts in all, want 16", len(after), c.seen(audit.Started))
+	}
+	for _, name := range []string{"once", "batch"} {
+		if j := c.job(name); j == nil || j.Status.Active != 8 {
+			t.Errorf("Job %s after the restart: %v", name, j)
+		}
+	}
+	if code, _ := c.try("GET", fmt.Sprintf("/api/v1/pods?watch=1&resourceVersion=%d", rev), "", nil); code != 410 {
+		t.Errorf("watch from a revision of the earlier life: status %d, want 410", code)
+	}
+	// The client posts its Job again: it is there.
+	c.want(409, "POST", "/apis/batch/v1/namespaces/default/jobs", "application/json", jobText("once", 8))
+	c.audit()
+}
+
+func jobText(name string, n int) string {
+	return fmt.Sprintf(`{"apiVersion":"batch/v1","kind":"Job","metadata":{"name":%q},"spec":{"parallelism":%d,"completions":%d,"template":{"spec":{`+
+		`"restartPolicy":"Never","containers":[{"name":"m","image":"i","resources":{"requests":{"cpu":"10m","memory":"1Mi"}}}]}}}}`, name, n, n)
+}
+
+// A Job is deleted while its offers are out: no task of it stays anywhere.
+func TestDeleteWithOffersOut(t *testing.T) {
+	for _, how := range []string{"Background", "Foreground"} {
+		t.Run(how, func(t *testing.T) {
+			c := start(t, nil)
+			c.fault(fault.Machine{Stall: 0.5})
+			c.submit(badday.Job{Name: "a", Class: "once", Service: "s", Tasks: 10, Cores: 0.5, Memory: 0.5, Life: 60, Backoff: 3})
+			c.eventually("offers are out", func() bool { return c.seen(audit.Offered) > 0 })
+			c.want(200, "DELETE", "/apis/batch/v1/namespaces/default/jobs/a?propagationPolicy="+how, "", "")
+			c.eventually("all is gone", func() bool { return len(c.pods("")) == 0 && c.job("a") == nil })
+			c.eventually("no machine holds a task", func() bool {
+				n, done := 0, make(chan struct{})
+				c.sl.Post(func() {
+					for _, x := range c.nodes {
+						n += x.Machine().Holds()
+					}
+					close(done)
+				})
+				<-done
+				return n == 0
+			})
+			c.audit()
+		})
+	}
+}
+
+// A watch that is cut in the middle of an event resumes where it was; one whose history is gone is told so.
+func TestWatchCutAndResumed(t *testing.T) {
+	c := start(t, func(s *settings.Settings) { s.Limits.History = 60 })
+	rev := c.sch.Rev()
+	c.submit(badday.Job{Name: "a", Class: "batch", Service: "s", Tasks: 10, Cores: 0.1, Memory: 0.1, Life: 60, Backoff: 3})
+	c.eventually("all run", func() bool { return len(c.pods("?fieldSelector=status.phase=Running")) == 10 })
+	seen := map[string]int{}
+	last := fmt.Sprint(rev)
+	for cuts := 0; len(seen) < 30; cuts++ {
+		if cuts > 200 {
+			t.Fatalf("%d events after %d cuts", len(seen), cuts)
+		}
+		conn, err := net.Dial("tcp", c.sch.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "GET /api/v1/pods?watch=1&timeoutSeconds=1&resourceVersion=%s HTTP/1.1\r\nHost: a\r\n\r\n", last)
+		resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, int64(2500+cuts*311%4000))), nil)
+		if err == nil {
+			r := bufio.NewReader(resp.Body)
+			for {
+				line, err := r.ReadBytes('\n')
+				if err != nil {
+					break // an event cut short does not count
+				}
+				var ev struct {
+					Type   string
+					Object corev1.Pod
+				}
+				if err := json.Unmarshal(line, &ev); err != nil {
+					t.Fatal(err)
+				}
+				last = ev.Object.ResourceVersion
+				if seen[last]++; seen[last] > 1 {
+					t.Fatalf("revision %s came twice", last)
+				}
+			}
+		}
+		conn.Close()
+	}
+	// Ten Pods are added, placed and seen running: thirty events. Then the history moves on.
+	c.submit(badday.Job{Name: "b", Class: "batch", Service: "s", Tasks: 30, Cores: 0.1, Memory: 0.1, Life: 60, Backoff: 3})
+	c.eventually("more run", func() bool { return len(c.pods("?fieldSelector=status.phase=Running")) == 40 })
+	c.want(410, "GET", fmt.Sprintf("/api/v1/pods?watch=1&resourceVersion=%d", rev), "", "")
+}
+
+func TestRefusedRequests(t *testing.T) {
+	c := start(t, func(s *settings.Settings) { s.Limits.Body, s.Limits.Pods = 4096, 50 })
+	const jobs = "/apis/batch/v1/namespaces/default/jobs"
+	body := jobText("fit", 1)
+	pad := func(n int) string { return body + strings.Repeat(" ", n-len(body)) }
+	c.want(201, "POST", jobs, "application/json", pad(4096))
+	c.want(413, "POST", jobs, "application/json", pad(4097))
+	for _, x := range []struct {
+		code                         int
+		method, path, ct, body, says string
+	}{
+		{400, "POST", jobs, "application/json", "{", "unexpected end"},
+		{400, "POST", jobs + "?fieldValidation=Strict", "application/json", strings.Replace(jobText("x", 1), `"spec":{"par`, `"spek":1,"spec":{"par`, 1), "spek"},
+		{400, "POST", jobs, "application/json", strings.Replace(jobText("x", 1), `"Job"`, `"Pod"`, 1), "want a Job"},
+		{404, "POST", "/apis/batch/v1/namespaces/none/jobs", "application/json", jobText("x", 1), "none"},
+		{404, "GET", "/apis/apps/v1/deployments", "", "", "could not find"},
+		{405, "POST", "/api/v1/nodes", "application/json", "{}", "not supported"},
+		{405, "DELETE", "/api/v1/nodes/node-01", "", "", "not supported"},
+		{409, "POST", jobs, "application/json", body, "already exists"},
+		{415, "POST", jobs, "application/yaml", "a: b", "accepted media types"},
+		{415, "PATCH", "/api/v1/nodes/node-01", "application/apply-patch+yaml", "{}", "content-type"},
+		{422, "POST", jobs, "application/json", strings.Replace(jobText("x", 1), "Never", "Always", 1), "restartPolicy"},
+		{422, "POST", jobs, "application/json", jobText("X!", 1), "metadata.name"},
+		{422, "POST", jobs, "application/json", strings.Replace(jobText("x", 1), `"10m"`, `"-1"`, 1), "requests"},
+		{422, "PATCH", "/api/v1/nodes/node-01", "application/merge-patch+json", `{"metadata":{"labels":{"heathshed.io/rack":"z"}}}`, "inventory"},
+		{429, "POST", jobs, "application/json", jobText("many", 50), "too many"},
+		{400, "GET", "/api/v1/pods?fieldSelector=spec.x=1", "", "", "not supported"},
+		{400, "GET", "/api/v1/pods?resourceVersion=x", "", "", "resource version"},
+		{400, "GET", "/api/v1/pods?continue=x", "", "", "continue"},
+		{504, "GET", "/api/v1/pods?resourceVersion=9999999999999999", "", "", "Too large"},
+	} {
+		b := c.want(x.code, x.method, x.path, x.ct, x.body)
+		var st struct{ Kind, Message string }
+		if json.Unmarshal(b, &st) != nil || st.Kind != "Status" || !strings.Contains(st.Message, x.says) {
+			t.Errorf("%d %s %s: %.300s, want a Status with %q", x.code, x.method, x.path, b, x.says)
+		}
+	}
+	req, _ := http.NewRequest("GET", c.base+"/api/v1/pods", nil)
+	req.Header.Set("Accept", "text/html")
+	if resp, err := http.DefaultClient.Do(req); err != nil || resp.StatusCode != 406 {
+		t.Errorf("accept: %v, %v", resp, err)
+	}
+	unknown := strings.Replace(jobText("warned", 1), `"spec":{"par`, `"spek":1,"spec":{"par`, 1)
+	resp, err := http.Post(c.base+jobs, "application/json", strings.NewReader(unknown))
+	if err != nil || resp.StatusCode != 201 || !strings.Contains(resp.Header.Get("Warning"), "spek") {
+		t.Errorf("unknown field: %v, %v", resp, err)
+	}
+}
+
+// Ten thousand requests in one pipeline are answered in order; half-open and slow peers hold up nobody.
+func TestPipelineAndHalfOpen(t *testing.T) {
+	c := start(t, nil)
+	var silent []net.Conn
+	for range 50 {
+		x, err := net.Dial("tcp", c.sch.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(x, "GET /livez HT") // and nothing more
+		silent = append(silent, x)
+	}
+	conn, err := net.Dial("tcp", c.sch.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const n = 10000
+	go func() {
+		var b strings.Builder
+		for i := range n {
+			fmt.Fprintf(&b, "GET /api/v1/nodes/x%d HTTP/1.1\r\nHost: a\r\n\r\n", i)
+		}
+		io.WriteString(conn, b.String())
+	}()
+	r := bufio.NewReader(conn)
+	for i := range n {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		b, _ := io.ReadAll(resp.Body)
+		if resp.StatusCode != 404 || !strings.Contains(string(b), strconv.Quote(fmt.Sprint("x", i))[1:]) {
+			t.Fatalf("answer %d: %d %.200s", i, resp.StatusCode, b)
+		}
+	}
+	for _, x := range silent {
+		x.Close()
+	}
+	c.eventually("half-open connections are let go", func() bool {
+		n, done := 0, make(chan struct{})
+		c.l.Post(func() { n = c.sch.http.Conns(); close(done) })
+		<-done
+		return n <= 2
+	})
+}
+
+// Many idle watches and a Job of ten thousand tasks side by side: all settle, and a watch sees each of its events.
+func TestManyWatchesAndTasks(t *testing.T) {
+	c := start(t, func(s *settings.Settings) {
+		s.StandIn.MaxWaiting, s.StandIn.LookMin, s.StandIn.LookMax = 4096, 0, 0.0001
+	})
+	const watches, tasks = 5000, 10000
+	var conns []net.Conn
+	for i := range watches {
+		x, err := net.Dial("tcp", c.sch.Addr())
+		if err != nil {
+			t.Skipf("only %d connections: %v", i, err)
+		}
+		fmt.Fprint(x, "GET /api/v1/namespaces/none/pods?watch=1 HTTP/1.1\r\nHost: a\r\n\r\n")
+		conns = append(conns, x)
+	}
+	defer func() {
+		for _, x := range conns {
+			x.Close()
+		}
+	}()
+	c.eventually("all watch", func() bool {
+		n, done := 0, make(chan struct{})
+		c.l.Post(func() { n = c.sch.api.Watchers(); close(done) })
+		<-done
+		return n == watches
+	})
+	c.want(201, "POST", "/apis/batch/v1/namespaces/default/jobs", "application/json",
+		strings.Replace(jobText("big", tasks), `"template":{`, `"template":{"metadata":{"annotations":{"heathshed.io/lifetime":"0.5"}},`, 1))
+	c.eventually("all settle", func() bool { return settled(c.job("big")) != "" })
+	if j := c.job("big"); settled(j) == "" || c.count(store.Pods) < tasks {
+		t.Errorf("%v with %d Pods", j.Status, c.count(store.Pods))
+	}
+}
+
+func (c *cluster) count(r store.Resource) int {
+	n, done := 0, make(chan struct{})
+	c.l.Post(func() { n = c.sch.Count(r); close(done) })
+	<-done
+	return n
+}
+
+// A stop in order: what was taken gets its answer, watches end cleanly, nothing new is taken.
+func TestStopInOrder(t *testing.T) {
+	c := start(t, nil)
+	c.fault(fault.Machine{Stall: 0.3})
+	resp, err := http.Get(c.base + "/api/v1/pods?watch=1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.submit(badday.Job{Name: "a", Class: "once", Service: "s", Tasks: 10, Cores: 0.5, Memory: 0.5, Life: 60, Backoff: 3})
+	c.eventually("offers are out", func() bool { return c.seen(audit.Offered) > 0 })
+	stopped := make(chan struct{})
+	c.l.Post(func() { c.sch.Stop(20, func() { close(stopped); c.l.Stop() }) })
+	// The watch ends with a whole chunked body, after an outcome for each task.
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Errorf("the watch broke off: %v", err)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(30 * time.Second):
+		t.Fatal("did not stop")
+	}
+	out := map[string]bool{}
+	for _, line := range strings.Split(strings.TrimSpace(string(b)), "\n") {
+		var ev struct{ Object corev1.Pod }
+		if json.Unmarshal([]byte(line), &ev) == nil && meta.SettledOf(&ev.Object) != "" {
+			out[string(ev.Object.UID)] = true
+		}
+	}
+	if len(out) != 10 {
+		t.Errorf("%d outcomes of 10", len(out))
+	}
+	c.audit()
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -65,6 +65,7 @@
 	effects  []engine.Effect
 	busy     bool
 	shown    int64
+	kicking  bool
 	stopping bool
 	met      *metrics
 }
@@ -172,10 +173,14 @@
 			s.after()
 		})
 	}
-	if rev := s.e.Store().Rev(); rev != s.shown {
-		s.shown = rev
-		s.api.Advance(s.l.Now())
-		s.http.Kick()
+	if s.e.Store().Rev() != s.shown && !s.kicking {
+		s.kicking = true
+		s.l.After(api.KickDelay(s.http.Streams()), func() {
+			s.kicking = false
+			s.shown = s.e.Store().Rev()
+			s.api.Advance(s.l.Now())
+			s.http.Kick()
+		})
 	}
 }
 
@@ -302,7 +307,11 @@
 			ans.Result = placer.Errored
 			return
 		}
-		ans.Accepted = true
+		if p.Status.Reason == meta.NeverRan {
+			ans.Result, ans.Reason = placer.Refused, placer.NotHere
+			return
+		}
+		ans.Accepted, ans.Pod = true, &p
 		ans.Rev, _ = strconv.ParseInt(p.ResourceVersion, 10, 64)
 		return
 	}
