Cold machines are told by the scheduler's own clock

Machines state when they came up by clocks of their own; one that was behind looked warm while cold, which is how a machine is pushed over. A life that begins under our eyes now begins when it is first listed; one that was there before us keeps its word, but never lies in the future.

--- a/internal/badday/badday.go
+++ b/internal/badday/badday.go
@@ -107,6 +107,7 @@
 	"reconnect":      "part of the machines breaks connections before reading offers",
 	"lose_answers":   "part of the machines accepts and breaks the connection instead of answering",
 	"trickle":        "part of the machines answers a second late",
+	"clocks":         "the clocks of part of the machines are scale seconds behind, or half as many ahead",
 	"shrink":         "part of the machines drains and goes away for for",
 	"grow":           "part of the machines is there only from at on, cold",
 	"zone_cut":       "the machines of zone or rack name (the first rack if none) cannot be reached, their tasks run on",
@@ -133,7 +134,7 @@
 		at += 28
 		s.Trouble = append(s.Trouble, t)
 	}
-	s.Trouble = append(s.Trouble, Trouble{Kind: "grow", At: 60, Part: 0.15}, Trouble{Kind: "crash", At: 140, For: 8, Part: 0.15},
+	s.Trouble = append(s.Trouble, Trouble{Kind: "grow", At: 60, Part: 0.15}, Trouble{Kind: "clocks", At: 1, Part: 0.5, Scale: 40}, Trouble{Kind: "crash", At: 140, For: 8, Part: 0.15},
 		Trouble{Kind: "discovery_down", At: 210, For: 12}, Trouble{Kind: "balancer_roll", At: 300, For: 10, Part: 0.7},
 		Trouble{Kind: "burst", At: 385, For: 8, Scale: 2})
 	return s
@@ -233,6 +234,14 @@
 		each(fault.Machine{LoseAnswer: t.For})
 	case "trickle":
 		each(fault.Machine{Trickle: t.For})
+	case "clocks":
+		for i, n := range p.some(t.Part, nil) {
+			off := -t.Scale
+			if i%3 == 2 {
+				off = t.Scale / 2
+			}
+			p.fault(t.At, n, fault.Machine{Clock: off})
+		}
 	case "mass_restart":
 		for _, n := range p.some(t.Part, nil) {
 			p.fault(t.At+t.For*p.rng.Float64(), n, fault.Machine{Crash: 1 + p.rng.Float64()})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -109,6 +109,7 @@
 	dirty    []*job
 	backlog  []*job // jobs with tasks to begin
 	admits   bool   // a timer for the backlog is set
+	listed   bool   // the inventory was heard of
 	stopping bool
 	unnamed  int // tasks that have no final answer yet
 
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,71 @@
+package engine
+
+import (
+	"testing"
+
+	corev1 "k8s.io/api/core/v1"
+
+	"heathshed/internal/meta"
+	"heathshed/placer"
+)
+
+func listedNode(boot string, started float64) *corev1.Node {
+	o := &corev1.Node{}
+	o.Name = "n"
+	o.Labels = map[string]string{meta.Kind: "k"}
+	o.Annotations = map[string]string{}
+	if started > 0 {
+		o.Annotations[meta.Started] = meta.Instant(started)
+	}
+	o.Status.NodeInfo.BootID = boot
+	o.Status.Conditions = []corev1.NodeCondition{{Type: corev1.NodeReady, Status: corev1.ConditionTrue}}
+	o.Status.Addresses = []corev1.NodeAddress{{Type: corev1.NodeInternalIP, Address: "127.0.0.1"}}
+	o.Status.DaemonEndpoints.KubeletEndpoint.Port = 1
+	return o
+}
+
+func newEngine(t *testing.T) *Engine {
+	t.Helper()
+	e, err := New(Config{Name: "s", Classes: []string{"c"}, Kinds: []string{"k"}, Placer: placer.Config{Peers: 1, MaxAttempts: 3, AnswerSlack: 0.1,
+		Classes: []placer.Class{{Aim: 1, Deadline: 8, NodeKind: -1, CalmUpTo: 1, FadesOver: 1}}, Kinds: []placer.Kind{{Cores: 8, Memory: 8}},
+		BookCores: 1, BookMemory: 1, ListShowsRoom: true, WarmWithin: 15}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// A machine whose clock is behind must not look warm when it has just come up, nor one that is ahead stay cold for ever.
+func TestColdByOwnClock(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		first, second *corev1.Node // as listed at 1000 and at 1100
+		want          float64
+	}{
+		{"long up", listedNode("a", 0), listedNode("a", 0), 0},
+		{"restarted, clock behind", listedNode("a", 0), listedNode("b", 1050), 1100},
+		{"restarted, clock ahead", listedNode("a", 0), listedNode("b", 5000), 1100},
+		{"there before us, clock ahead", listedNode("a", 5000), listedNode("a", 5000), 1000},
+		{"there before us", listedNode("a", 990), listedNode("a", 990), 990},
+	} {
+		e := newEngine(t)
+		e.NodesListed(1000, FullList, []*corev1.Node{c.first}, nil)
+		e.NodesListed(1100, Changes, []*corev1.Node{c.second}, nil)
+		if got := e.nodes["n"].since; got != c.want {
+			t.Errorf("%s: since %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// The list is late: a life that the machine itself has left ends nothing of its present one.
+func TestLateListNamesAnEarlierLife(t *testing.T) {
+	e := newEngine(t)
+	e.NodesListed(1000, FullList, []*corev1.Node{listedNode("a", 0)}, nil)
+	e.NodePods(1001, "n", "a", 1, nil)
+	e.NodePods(1010, "n", "b", 1, nil)
+	e.NodesListed(1011, Changes, []*corev1.Node{listedNode("a", 0)}, nil)
+	e.learn(e.nodes["n"], "a")
+	if got := e.nodes["n"].boot; got != "b" {
+		t.Errorf("the machine is taken back to life %q", got)
+	}
+}
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -31,6 +31,8 @@
 	boot      string
 	past      []string // lives that are over: a late word of them says nothing
 	following bool     // its Pods are watched and heard of
+	listBoot  string   // the life that the list names
+	since     float64  // when that began by our clock, 0 is long ago
 	held      map[types.UID]*task
 	goneSince float64
 	shownAt   float64
@@ -107,6 +109,7 @@
 		out = append(out, e.observe(n))
 		e.showNode(n)
 	}
+	e.listed = true
 	e.feed(placer.Event{Kind: placer.Listed, List: list, Nodes: out})
 }
 
@@ -119,7 +122,7 @@
 		l := o.Labels
 		out.Zone, out.Rack = intern(e.zones, l[meta.Zone]), intern(e.racks, l[meta.Rack])
 		out.Kind = slices.Index(e.cfg.Kinds, l[meta.Kind])
-		out.Since = meta.Seconds(o.Annotations[meta.Started])
+		out.Since = e.since(n, o)
 		free, _ := meta.ParseDict(o.Annotations[meta.Free])
 		out.FreeCores, out.FreeMemory = free["cores"], free["memory"]
 		switch {
@@ -138,6 +141,25 @@
 	return out
 }
 
+// since is when the life that the list names began, by this scheduler's clock. Machines have clocks of their own: one that is
+// behind would make a cold machine look warm. A life that begins under our eyes began when we first saw it, or at most the
+// list's delay before, which only makes it count as cold for longer.
+func (e *Engine) since(n *node, o *corev1.Node) float64 {
+	boot, stated := o.Status.NodeInfo.BootID, meta.Seconds(o.Annotations[meta.Started])
+	if n.listBoot != boot || boot == "" || !n.told {
+		switch {
+		case stated == 0:
+			n.since = 0
+		case e.listed:
+			n.since = e.now
+		default:
+			n.since = min(stated, e.now) // it was there before us: there is only its own word
+		}
+		n.listBoot = boot
+	}
+	return n.since
+}
+
 // checkGone sees to the tasks of a machine that stays out of the list and is not heard of.
 func (e *Engine) checkGone(n *node) {
 	e.after(e.cfg.LostAfter, func() {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -142,8 +142,8 @@
 	watch   []*follower
 	waiting map[string]func(*machine.Effect)
 
-	refuse, lose, reset, trickle, errs, cut float64
-	errClass                                string
+	refuse, lose, reset, trickle, errs, cut, clock float64
+	errClass                                       string
 }
 
 // New makes a world at its start: machines are up and known, schedulers begin.
@@ -872,7 +872,7 @@
 	c, m := n.m.Free()
 	o.Annotations = map[string]string{meta.Free: meta.FormatDict("cores", c, "memory", m)}
 	if n.started > 0 {
-		o.Annotations[meta.Started] = meta.Instant(n.started)
+		o.Annotations[meta.Started] = meta.Instant(n.started + n.clock)
 	}
 	o.Spec.Unschedulable = n.m.Draining()
 	o.Status.Conditions = []corev1.NodeCondition{{Type: corev1.NodeReady, Status: corev1.ConditionTrue}}
@@ -893,6 +893,9 @@
 	set(&n.lose, f.LoseAnswer)
 	set(&n.reset, f.Reset)
 	set(&n.trickle, f.Trickle)
+	if f.Clock != 0 {
+		n.clock = f.Clock
+	}
 	if f.Error != 0 {
 		n.errs, n.errClass = now+f.Error, f.Class
 	}
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -14,6 +14,7 @@
 	Crash      float64 `json:"crash,omitempty"` // dies with all it holds and comes back cold after that long
 	Cut        float64 `json:"cut,omitempty"`   // cannot be reached; its tasks run on
 	Drain      *bool   `json:"drain,omitempty"` // a state
+	Clock      float64 `json:"clock,omitempty"` // its clock is so many seconds ahead from now on; below 0 behind
 }
 
 // Inventory is what an inventory can be made to do wrong, in seconds from the order.
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -65,6 +65,7 @@
 
 	refuse, lose, reset, trickle, errs, cutUntil float64
 	errClass                                     string
+	clock                                        float64 // how far its clock is ahead
 }
 
 // StartNode puts a machine on a socket and reports it to the inventory.
@@ -170,7 +171,7 @@
 	c, m := n.m.Free()
 	o.Annotations = map[string]string{meta.Free: meta.FormatDict("cores", c, "memory", m)}
 	if n.started > 0 {
-		o.Annotations[meta.Started] = meta.Instant(n.started)
+		o.Annotations[meta.Started] = meta.Instant(n.started + n.clock)
 	}
 	o.Spec.Unschedulable = n.m.Draining()
 	cfg := n.m.Config()
@@ -453,6 +454,9 @@
 	set(&n.lose, f.LoseAnswer)
 	set(&n.reset, f.Reset)
 	set(&n.trickle, f.Trickle)
+	if f.Clock != 0 {
+		n.clock = f.Clock
+	}
 	if f.Error != 0 {
 		n.errs, n.errClass = now+f.Error, f.Class
 	}
