--- a/internal/scheduler/hardcases_test.go
+++ b/internal/scheduler/hardcases_test.go
@@ -114,7 +114,7 @@
 	for _, p := range c.pods("") {
 		before[string(p.UID)] = true
 	}
-	rev := c.sch.Rev()
+	rev := c.rev()
 	c.kill()
 	c.up()
 	after := c.pods("")
@@ -173,7 +173,7 @@
 // A watch that is cut in the middle of an event resumes where it was; one whose history is gone is told so.
 func TestWatchCutAndResumed(t *testing.T) {
 	c := start(t, func(s *settings.Settings) { s.Limits.History = 60 })
-	rev := c.sch.Rev()
+	rev := c.rev()
 	c.submit(badday.Job{Name: "a", Class: "batch", Service: "s", Tasks: 10, Cores: 0.1, Memory: 0.1, Life: 60, Backoff: 3})
 	c.eventually("all run", func() bool { return len(c.pods("?fieldSelector=status.phase=Running")) == 10 })
 	seen := map[string]int{}
@@ -346,6 +346,15 @@
 	}
 }
 
+// rev is the revision of the last change.
+func (c *cluster) rev() int64 {
+	var rev int64
+	done := make(chan struct{})
+	c.l.Post(func() { rev = c.sch.Rev(); close(done) })
+	<-done
+	return rev
+}
+
 func (c *cluster) count(r store.Resource) int {
 	n, done := 0, make(chan struct{})
 	c.l.Post(func() { n = c.sch.Count(r); close(done) })
@@ -387,3 +396,34 @@
 	}
 	c.audit()
 }
+
+// The inventory goes away, comes back empty, then whole: what runs goes on, nothing that must not run twice is started again, and new
+// work is placed afterwards.
+func TestInventoryCutAndEmpty(t *testing.T) {
+	c := start(t, func(s *settings.Settings) { s.Limits.LostAfter = 0.5 })
+	c.submit(badday.Job{Name: "a", Class: "once", Service: "s", Tasks: 8, Cores: 0.5, Memory: 0.5, Life: 60, Backoff: 3})
+	c.eventually("all run", func() bool { return len(c.pods("?fieldSelector=status.phase=Running")) == 8 })
+	c.sl.Post(func() { c.inv.Fault(fault.Inventory{Cut: 0.5}) })
+	c.submit(badday.Job{Name: "b", Class: "batch", Service: "s", Tasks: 4, Cores: 0.5, Memory: 0.5, Life: 60, Backoff: 3})
+	c.eventually("b is settled by the list as it was", func() bool { return settled(c.job("b")) == meta.Placed })
+	nodes := func() int {
+		var l corev1.NodeList
+		if code, b := c.try("GET", "/api/v1/nodes", "", nil); code != 200 || json.Unmarshal(b, &l) != nil {
+			return -1
+		}
+		return len(l.Items)
+	}
+	c.eventually("the inventory is back", func() bool {
+		n, done := 0, make(chan struct{})
+		c.sl.Post(func() { c.inv.Fault(fault.Inventory{Empty: 1.5}); n = c.inv.Machines(); close(done) })
+		<-done
+		return n == 0 && nodes() == 0
+	})
+	c.eventually("the machines are listed again", func() bool { return nodes() == len(c.nodes) })
+	c.submit(badday.Job{Name: "c", Class: "batch", Service: "s", Tasks: 4, Cores: 0.5, Memory: 0.5, Life: 60, Backoff: 3})
+	c.eventually("c is settled", func() bool { return settled(c.job("c")) == meta.Placed })
+	if n := len(c.pods("?labelSelector=job-name=a&fieldSelector=status.phase=Running")); n != 8 || c.job("a").Status.Failed != 0 {
+		t.Errorf("%d of 8 tasks run, %v", n, c.job("a").Status)
+	}
+	c.audit()
+}
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -28,7 +28,7 @@
 
 // cluster is a scheduler with stand-ins, in this process.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	s     settings.Settings
 	base  string
 	l     *loop.Loop // of the scheduler
@@ -42,7 +42,7 @@
 	events []audit.Event
 }
 
-func start(t *testing.T, change func(*settings.Settings)) *cluster {
+func start(t testing.TB, change func(*settings.Settings)) *cluster {
 	t.Helper()
 	c := &cluster{t: t, s: settings.Default()}
 	s := &c.s
--- /dev/null
+++ b/placer/bench_test.go
@@ -0,0 +1,38 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkDecision is one task arriving and being bound, by the number of machines.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint("machines=", n), func(b *testing.B) {
+			p, err := New(Config{Peers: 1, Classes: []Class{{Aim: 1, Deadline: 8, NodeKind: -1, CalmUpTo: 1, FadesOver: 1}},
+				Kinds: []Kind{{Cores: 32, Memory: 64}}, BookCores: 2, BookMemory: 2, ListShowsRoom: true, MaxAttempts: 3, AnswerSlack: 0.01, AskWithin: 10}, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			var list []Node
+			for i := range n {
+				list = append(list, Node{ID: NodeID(i + 1), State: Ready, FreeCores: 32, FreeMemory: 64})
+			}
+			acts := p.Handle(1, Event{Kind: Listed, List: FullList, Nodes: list}, nil)
+			b.ReportAllocs()
+			b.ResetTimer()
+			now := 10.0
+			for i := range b.N {
+				now += 0.01
+				id := TaskID(i + 1)
+				acts = p.Handle(now, Event{Kind: Arrived, Task: Task{ID: id, Service: ServiceID(i % 50), Cores: 0.1, Memory: 0.1, Deadline: now + 8}}, acts[:0])
+				for _, a := range acts {
+					if a.Kind == Offer {
+						p.Handle(now, Event{Kind: Bound, ID: id, Attempt: a.Attempt, Node: a.Node, Elapsed: 0.005}, nil)
+						p.Handle(now+0.005, Event{Kind: Ended, ID: id, Attempt: a.Attempt, Node: a.Node, Result: Finished, Over: true}, nil)
+					}
+				}
+			}
+		})
+	}
+}
