--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,6 +21,7 @@
 	corev1 "k8s.io/api/core/v1"
 	"k8s.io/apimachinery/pkg/types"
 
+	"heathshed/internal/gate"
 	"heathshed/internal/owner"
 	"heathshed/internal/store"
 	"heathshed/placer"
@@ -36,6 +37,7 @@
 	Tenants      []string // namespaces, as in Placer.Tenants; every namespace may ask if there are none
 	Zone         string   // of this scheduler
 	Owner        owner.Policy
+	Gate         gate.Config // of the front door; the zero value lets everything pass
 	Seed         uint64
 	BaseRev      int64   // revisions begin above this
 	History      int     // changes kept per table for watches
@@ -88,6 +90,8 @@
 	now    float64
 	rng    *rand.Rand
 	placer *placer.Placer
+	gate   *gate.Gate
+	gateAt *timer
 	store  *store.Store
 
 	acts    []placer.Action
@@ -119,10 +123,10 @@
 
 // Stats are counters.
 type Stats struct {
-	Asks, Offers, Accepted, Refusals, Doubts, Adopted, Stops     uint64
-	Placed, Refused, Failed                                      uint64
-	AskedAgain, LostTasks, EvictedTasks, MovedTasks, TakenOver   uint64
-	JobsCreated, JobsFinished, PodsCreated, JobsTurnedAway, Late uint64
+	Asks, Offers, Accepted, Refusals, Doubts, Adopted, Stops         uint64
+	Placed, Refused, Failed                                          uint64
+	Shed, AskedAgain, LostTasks, EvictedTasks, MovedTasks, TakenOver uint64
+	JobsCreated, JobsFinished, PodsCreated, JobsTurnedAway, Late     uint64
 }
 
 // New makes an engine, or says which part of the configuration cannot be used.
@@ -162,6 +166,17 @@
 	if e.placer, err = placer.New(e.cfg.Placer, cfg.Seed); err != nil {
 		return nil, fmt.Errorf("engine: %w", err)
 	}
+	if e.cfg.Gate.MaxWaiting == 0 {
+		e.cfg.Gate = gate.DefaultConfig()
+		e.cfg.Gate.Off = true
+	}
+	e.cfg.Gate.Shares = nil
+	for _, t := range cfg.Placer.Tenants {
+		e.cfg.Gate.Shares = append(e.cfg.Gate.Shares, t.Share)
+	}
+	if e.gate, err = gate.New(e.cfg.Gate); err != nil {
+		return nil, fmt.Errorf("engine: %w", err)
+	}
 	e.addNamespaces()
 	return e, nil
 }
@@ -197,6 +212,9 @@
 	e.end()
 }
 
+// Gate is the front door, to be read between calls.
+func (e *Engine) Gate() *gate.Gate { return e.gate }
+
 // Open is the number of tasks without a final answer.
 func (e *Engine) Open() int { return e.unnamed }
 
@@ -206,6 +224,10 @@
 	e.begin(now)
 	e.stopping = true
 	for _, t := range e.sortedTasks() {
+		if t.phase == asking && t.ask.queued {
+			e.withdraw(t)
+			t.phase = waiting
+		}
 		if t.phase == waiting && !t.inDoubt() {
 			e.settle(t, e.endOf(t), "the scheduler stops")
 		}
@@ -218,6 +240,7 @@
 
 func (e *Engine) end() {
 	e.drainQueue()
+	e.openGate()
 	dirty := e.dirty
 	e.dirty = nil
 	for _, j := range dirty {
--- a/internal/engine/tasks.go
+++ b/internal/engine/tasks.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 
 	corev1 "k8s.io/api/core/v1"
 	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
 	"k8s.io/apimachinery/pkg/types"
 
+	"heathshed/internal/gate"
 	"heathshed/internal/meta"
 	"heathshed/internal/owner"
 	"heathshed/internal/store"
@@ -59,6 +61,9 @@
 	t        *task
 	attempts []*attempt
 	answered bool
+	queued   bool // it stands in line at the gate; the placer does not know it
+	again    bool
+	deadline float64
 }
 
 // attempt is one offer, or a task found running.
@@ -95,21 +100,71 @@
 	e.begAsk(t)
 }
 
-// begAsk brings a task to the placer under a new number.
+// begAsk brings a task to the gate under a new number. What it lets pass goes to the placer.
 func (e *Engine) begAsk(t *task) {
 	e.lastAsk++
-	a := &ask{id: e.lastAsk, t: t}
+	k := &e.cfg.Placer.Classes[t.class]
+	a := &ask{id: e.lastAsk, t: t, again: t.asked > 0, deadline: min(t.giveUp, e.now+k.Deadline)}
 	e.asks[a.id] = a
 	t.ask, t.phase, t.wait = a, asking, nil
 	t.asked++
 	e.Stats.Asks++
-	again := t.asked > 1
-	if again {
+	if a.again {
 		e.Stats.AskedAgain++
 	}
-	e.feed(placer.Event{Kind: placer.Arrived, Task: placer.Task{ID: a.id, Class: t.class, Tenant: t.tenant,
-		Service: t.service, Cores: t.cores, Memory: t.memory, Again: again,
-		Deadline: min(t.giveUp, e.now+e.cfg.Placer.Classes[t.class].Deadline)}})
+	kind := &e.cfg.Placer.Kinds[0]
+	v, shed := e.gate.Arrive(e.now, gate.Item{ID: uint64(a.id), Tenant: t.tenant, Priority: k.Priority, Cost: max(t.cores/kind.Cores, t.memory/kind.Memory),
+		Deadline: a.deadline, Aim: k.Aim, Again: a.again})
+	switch v {
+	case gate.Pass:
+		e.bring(a)
+	case gate.Wait:
+		a.queued = true
+	case gate.Shed:
+		e.shed(a, shed)
+	}
+}
+
+// bring hands an ask to the placer.
+func (e *Engine) bring(a *ask) {
+	t := a.t
+	a.queued = false
+	e.feed(placer.Event{Kind: placer.Arrived, Task: placer.Task{ID: a.id, Class: t.class, Tenant: t.tenant, Service: t.service, Cores: t.cores,
+		Memory: t.memory, Again: a.again, Deadline: a.deadline}})
+}
+
+// shed ends an ask that the gate refuses. Nothing of it ran.
+func (e *Engine) shed(a *ask, s gate.Shedding) {
+	e.Stats.Shed++
+	a.answered, a.queued = true, false
+	e.forgetAsk(a)
+	a.t.lastReason = "not asked for: " + s.Why
+	e.decide(a.t, owner.WasRefused, s.Delay)
+}
+
+// openGate lets pass what may, and sees to it that it is looked at again in time.
+func (e *Engine) openGate() {
+	for {
+		pass, shed := e.gate.Next(e.now)
+		for _, id := range pass {
+			e.bring(e.asks[placer.TaskID(id)])
+		}
+		for _, s := range shed {
+			e.shed(e.asks[placer.TaskID(s.ID)], s)
+		}
+		e.drainQueue()
+		if len(pass)+len(shed) == 0 {
+			break
+		}
+	}
+	at := max(e.gate.NextDeadline(), e.now+0.001)
+	if e.gateAt == nil || e.gateAt.index < 0 || at < e.gateAt.at {
+		e.stopTimer(e.gateAt)
+		e.gateAt = nil
+		if !math.IsInf(at, 1) {
+			e.gateAt = e.at(at, func() {}) // the end of every call opens the gate
+		}
+	}
 }
 
 // offer carries out the placer's offer.
@@ -259,6 +314,7 @@
 	at.boot = ans.Boot
 	e.feed(placer.Event{Kind: placer.Bound, ID: at.a.id, Attempt: at.seq, Node: at.n.id, Elapsed: e.now - at.sent})
 	at.a.answered = true
+	e.gate.Done(e.now, uint64(at.a.id), true)
 	e.hold(t, at)
 	// News that overtook the answer, or came with it.
 	if p := at.last; p != nil && at.rev > ans.Rev {
@@ -464,7 +520,11 @@
 func (e *Engine) withdraw(t *task) {
 	if a := t.ask; a != nil && !a.answered {
 		a.answered = true
-		e.feed(placer.Event{Kind: placer.Withdrawn, ID: a.id})
+		e.gate.Drop(uint64(a.id))
+		if !a.queued {
+			e.feed(placer.Event{Kind: placer.Withdrawn, ID: a.id})
+		}
+		a.queued = false
 		e.forgetAsk(a)
 	}
 }
@@ -476,6 +536,7 @@
 		return
 	}
 	a.answered = true
+	e.gate.Done(e.now, uint64(a.id), false)
 	t := a.t
 	if t.open != nil {
 		// Its outcome did not come by the deadline.
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,411 @@
+// Package gate decides what is asked of the placer when more is asked than the fleet can start: how many asks are under way at a
+// time, whose turn it is, what is refused early because it could no longer start in time, and how much may be asked again.
+//
+// It is pure: time is passed in, there is no randomness. It decides nothing about where a task goes.
+package gate
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Config sets the gate up. Times are in seconds.
+type Config struct {
+	Shares []float64 // of the tenants; one of share 0 counts as the smallest share there is, none at all is one tenant
+	// MinInFlight and MaxInFlight bound the learned limit on asks under way; it begins at Start.
+	MinInFlight, MaxInFlight, Start float64
+	// Decrease is what the limit is multiplied by while more than LatePart of the asks come back late or not placed, at most once in a
+	// Window. A lower part says nothing: there are always some that no machine may take.
+	Decrease, Window, LatePart float64
+	// MaxWaiting bounds the asks that wait, over all tenants.
+	MaxWaiting int
+	// RetryRatio is how many asks may be made again for each first ask, RetryRate how many a second beside, with RetryBurst saved up.
+	RetryRatio, RetryRate, RetryBurst float64
+	// Off lets everything pass, and still counts.
+	Off bool
+}
+
+// DefaultConfig has the figures of the docs.
+func DefaultConfig() Config {
+	return Config{MinInFlight: 4, MaxInFlight: 4096, Start: 64, Decrease: 0.85, Window: 0.25, LatePart: 0.3, MaxWaiting: 100000, RetryRatio: 0.3, RetryRate: 2,
+		RetryBurst: 100}
+}
+
+// Check names the first field that cannot be used.
+func (c *Config) Check() error {
+	for _, f := range []struct {
+		name      string
+		v, lo, hi float64
+	}{{"min in flight", c.MinInFlight, 1, c.MaxInFlight}, {"max in flight", c.MaxInFlight, 1, 1e9}, {"start", c.Start, 1, 1e9},
+		{"decrease", c.Decrease, 0.01, 0.99}, {"window", c.Window, 0, 60}, {"late part", c.LatePart, 0, 1}, {"max waiting", float64(c.MaxWaiting), 1, 1e9},
+		{"retry ratio", c.RetryRatio, 0, 100}, {"retry rate", c.RetryRate, 0, 1e9}, {"retry burst", c.RetryBurst, 0, 1e9}} {
+		if !(f.v >= f.lo && f.v <= f.hi) {
+			return fmt.Errorf("gate: %s %v: want %v to %v", f.name, f.v, f.lo, f.hi)
+		}
+	}
+	return nil
+}
+
+// Item is an ask that wants to pass.
+type Item struct {
+	ID       uint64
+	Tenant   int
+	Priority int     // higher goes first within its tenant
+	Cost     float64 // what it takes of the fleet, such as cores; at least a small amount is counted
+	Deadline float64 // when its owner stops waiting
+	Aim      float64 // how soon a start is worth most, from its arrival
+	Again    bool    // it was asked before
+}
+
+// Verdict says what becomes of an item.
+type Verdict uint8
+
+// The verdicts. Pass: ask now. Wait: it stands in line. Shed: refuse it; a new try does no harm, but not before the delay.
+const (
+	Pass Verdict = iota
+	Wait
+	Shed
+)
+
+// Shedding is an item that is refused, with the seconds before which it should not come again.
+type Shedding struct {
+	ID    uint64
+	Delay float64
+	Why   string
+}
+
+// Gate is the state. The zero value is not usable; see New.
+type Gate struct {
+	cfg      Config
+	limit    float64
+	lowered  float64 // time of the last decrease
+	late     float64 // part of the asks that came back late, smoothed
+	inFlight map[uint64]*flying
+	young    []*flying // those under way, oldest first; ended ones are skipped
+	fresh    int       // those of young that still count
+	waiting  map[uint64]*entry
+	expiry   expiry
+	tenants  []*tenant
+	virtual  float64 // of the tenant served last, in cost over share
+	passRate float64 // asks let pass a second, smoothed
+	passAt   float64
+	budget   float64 // asks that may be made again
+	budgetAt float64
+
+	// Passed, Queued, ShedLate, ShedFull and ShedRetry count.
+	Passed, Queued, ShedLate, ShedFull, ShedRetry uint64
+}
+
+// flying is an ask under way. Past its aim it is parked: it waits for a machine that may take it, keeps nobody busy, and does not
+// count against the limit.
+type flying struct {
+	at, aim float64
+	counted bool
+}
+
+type tenant struct {
+	share  float64
+	passed float64 // virtual time: cost let pass over share
+	lines  []*line // by priority, the highest first
+	n      int
+}
+
+type entry struct {
+	Item
+	at   float64
+	t    *tenant
+	gone bool
+}
+
+// line holds a tenant's items of one priority in order of arrival. Removed ones are skipped when they come to an end of it.
+type line struct {
+	priority int
+	items    []*entry
+	n        int
+}
+
+func (t *tenant) add(e *entry) {
+	i, found := slices.BinarySearchFunc(t.lines, e.Priority, func(l *line, p int) int { return p - l.priority })
+	if !found {
+		t.lines = slices.Insert(t.lines, i, &line{priority: e.Priority})
+	}
+	l := t.lines[i]
+	l.items = append(l.items, e)
+	l.n++
+	t.n++
+}
+
+// trim takes removed items off both ends.
+func (l *line) trim() {
+	for len(l.items) > 0 && l.items[0].gone {
+		l.items[0] = nil
+		l.items = l.items[1:]
+	}
+	for n := len(l.items); n > 0 && l.items[n-1].gone; n = len(l.items) {
+		l.items[n-1] = nil
+		l.items = l.items[:n-1]
+	}
+}
+
+// latest is when an item must have passed at the latest.
+func (e *entry) latest() float64 { return e.Deadline - e.Aim/2 }
+
+// expiry orders all that waits by when it must have passed. Removed items are skipped when they come to the top.
+type expiry []*entry
+
+func (h expiry) Len() int           { return len(h) }
+func (h expiry) Less(i, j int) bool { return h[i].latest() < h[j].latest() }
+func (h expiry) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *expiry) Push(x any)        { *h = append(*h, x.(*entry)) }
+func (h *expiry) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return e
+}
+
+// first returns the item that expires first, or nil.
+func (h *expiry) first() *entry {
+	for len(*h) > 0 && (*h)[0].gone {
+		heap.Pop(h)
+	}
+	if len(*h) == 0 {
+		return nil
+	}
+	return (*h)[0]
+}
+
+// next returns the item whose turn it is. While the line is short the oldest goes first. Once the oldest has waited for a good part of
+// its aim, the newest does: serving in order would make every one late, and a start within the aim is worth most.
+func (t *tenant) next(now float64) *entry {
+	for _, l := range t.lines {
+		l.trim()
+		if l.n == 0 {
+			continue
+		}
+		if e := l.items[0]; now-e.at < e.Aim*patient {
+			return e
+		}
+		return l.items[len(l.items)-1]
+	}
+	return nil
+}
+
+const patient = 0.4 // of its aim that the oldest may have waited before the newest goes first
+
+// New makes a gate.
+func New(cfg Config) (*Gate, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	g := &Gate{cfg: cfg, limit: min(max(cfg.Start, cfg.MinInFlight), cfg.MaxInFlight), inFlight: map[uint64]*flying{},
+		waiting: map[uint64]*entry{}, budget: cfg.RetryBurst}
+	least := math.Inf(1)
+	for _, s := range cfg.Shares {
+		if s > 0 {
+			least = min(least, s)
+		}
+	}
+	if math.IsInf(least, 1) {
+		least = 1
+	}
+	for _, s := range cfg.Shares {
+		if !(s > 0) {
+			s = least
+		}
+		g.tenants = append(g.tenants, &tenant{share: s})
+	}
+	if len(g.tenants) == 0 {
+		g.tenants = []*tenant{{share: 1}}
+	}
+	return g, nil
+}
+
+// Limit is the present limit on asks under way; InFlight how many are; Waiting how many stand in line.
+func (g *Gate) Limit() float64 { return g.limit }
+
+// InFlight is the number of asks under way.
+func (g *Gate) InFlight() int { return len(g.inFlight) }
+
+// Waiting is the number of items in line.
+func (g *Gate) Waiting() int { return len(g.waiting) }
+
+// Arrive takes an item. One that waits comes out of Next later; its delay says when to come again if it is shed.
+func (g *Gate) Arrive(now float64, it Item) (Verdict, Shedding) {
+	if g.cfg.Off {
+		g.pass(now, it.ID, it.Aim)
+		return Pass, Shedding{}
+	}
+	g.refill(now)
+	if it.Again {
+		if g.budget < 1 {
+			g.ShedRetry++
+			return Shed, Shedding{it.ID, g.delay(), "too much is asked again"}
+		}
+		g.budget--
+	} else {
+		g.budget = min(g.budget+g.cfg.RetryRatio, g.cfg.RetryBurst)
+	}
+	if it.Tenant < 0 || it.Tenant >= len(g.tenants) {
+		it.Tenant = 0
+	}
+	t := g.tenants[it.Tenant]
+	if len(g.waiting) == 0 && g.room(now) {
+		g.charge(t, it.Cost)
+		g.pass(now, it.ID, it.Aim)
+		return Pass, Shedding{}
+	}
+	if len(g.waiting) >= g.cfg.MaxWaiting {
+		g.ShedFull++
+		return Shed, Shedding{it.ID, g.delay(), "too many asks wait"}
+	}
+	e := &entry{Item: it, at: now, t: t}
+	if t.n == 0 {
+		// A tenant that comes back does not make up for the time that it asked nothing.
+		t.passed = max(t.passed, g.virtual)
+	}
+	g.waiting[it.ID] = e
+	t.add(e)
+	heap.Push(&g.expiry, e)
+	g.Queued++
+	return Wait, Shedding{}
+}
+
+// room says whether one more may be under way.
+func (g *Gate) room(now float64) bool {
+	for len(g.young) > 0 {
+		f := g.young[0]
+		if f.counted && now-f.at < max(f.aim, 0.001) {
+			break
+		}
+		g.settle(f)
+		g.young[0] = nil
+		g.young = g.young[1:]
+	}
+	return float64(g.fresh) < math.Floor(g.limit)
+}
+
+func (g *Gate) settle(f *flying) {
+	if f.counted {
+		f.counted = false
+		g.fresh--
+	}
+}
+
+func (g *Gate) charge(t *tenant, cost float64) {
+	t.passed = max(t.passed, g.virtual)
+	g.virtual = t.passed
+	t.passed += max(cost, 0.01) / t.share
+}
+
+func (g *Gate) pass(now float64, id uint64, aim float64) {
+	f := &flying{now, aim, true}
+	g.inFlight[id] = f
+	g.young = append(g.young, f)
+	g.fresh++
+	g.Passed++
+	// A rate smoothed over about a second.
+	d := max(now-g.passAt, 0)
+	g.passRate = g.passRate*math.Exp(-d) + 1
+	g.passAt = now
+}
+
+// refill lets asks again accrue.
+func (g *Gate) refill(now float64) {
+	g.budget = min(g.budget+max(now-g.budgetAt, 0)*g.cfg.RetryRate, g.cfg.RetryBurst)
+	g.budgetAt = max(g.budgetAt, now)
+}
+
+// delay is the advice to those refused: as long as the line takes, spread by how many were refused before, so that they do not come
+// back as a wave.
+func (g *Gate) delay() float64 {
+	wait := 1 + float64(len(g.waiting))/max(g.passRate, 1)
+	n := float64((g.ShedLate+g.ShedFull+g.ShedRetry)%16) / 16
+	return min(wait*(0.75+0.5*n), 60)
+}
+
+// Done takes the end of an ask: placed says that it was, at a time when it had been under way so long. The limit learns from it.
+func (g *Gate) Done(now float64, id uint64, placed bool) {
+	f, ok := g.inFlight[id]
+	if !ok {
+		return
+	}
+	delete(g.inFlight, id)
+	under := float64(g.fresh)
+	g.settle(f)
+	late := 0.0
+	if !placed || now-f.at > max(f.aim, 0.001)/2 {
+		late = 1
+	}
+	g.late += (late - g.late) * 0.05
+	switch {
+	case g.late > g.cfg.LatePart && late > 0 && now-g.lowered >= g.cfg.Window:
+		// Additive increase, multiplicative decrease: what was under way when it got late is the measure, not a limit that was never
+		// reached.
+		g.limit = max(min(g.limit, under+1)*g.cfg.Decrease, g.cfg.MinInFlight)
+		g.lowered = now
+	case late == 0 && under >= math.Floor(g.limit)/2:
+		g.limit = min(g.limit+1/max(g.limit, 1), g.cfg.MaxInFlight)
+	}
+}
+
+// Drop forgets an item wherever it is, with no lesson.
+func (g *Gate) Drop(id uint64) {
+	if f := g.inFlight[id]; f != nil {
+		g.settle(f)
+		delete(g.inFlight, id)
+	}
+	if e := g.waiting[id]; e != nil {
+		g.remove(e)
+	}
+}
+
+func (g *Gate) remove(e *entry) {
+	delete(g.waiting, e.ID)
+	e.gone = true
+	e.t.n--
+	for _, l := range e.t.lines {
+		if l.priority == e.Priority {
+			l.n--
+		}
+	}
+}
+
+// Next says which items pass now and which are refused because they could no longer start before their owner gives up.
+func (g *Gate) Next(now float64) (pass []uint64, shed []Shedding) {
+	for e := g.expiry.first(); e != nil && e.latest() <= now; e = g.expiry.first() {
+		g.remove(e)
+		g.ShedLate++
+		shed = append(shed, Shedding{e.ID, g.delay(), "it waited until it could no longer start in time"})
+	}
+	for len(g.waiting) > 0 && g.room(now) {
+		// The tenant that has had least for its share is next; what one does not use the others have.
+		var t *tenant
+		for _, x := range g.tenants {
+			if x.n > 0 && (t == nil || x.passed < t.passed) {
+				t = x
+			}
+		}
+		e := t.next(now)
+		g.remove(e)
+		g.charge(t, e.Cost)
+		g.pass(now, e.ID, e.Aim)
+		pass = append(pass, e.ID)
+	}
+	return pass, shed
+}
+
+// NextDeadline is when Next should be called at the latest although nothing ends: infinity if nothing waits.
+func (g *Gate) NextDeadline() float64 {
+	at := math.Inf(1)
+	if len(g.waiting) > 0 && len(g.young) > 0 {
+		at = g.young[0].at + max(g.young[0].aim, 0.001)
+	}
+	if e := g.expiry.first(); e != nil {
+		at = min(at, e.latest())
+	}
+	return at
+}
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,169 @@
+package gate
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"heathshed/internal/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, "200") }
+
+// Random arrivals and ends: nothing is lost, nothing passes twice, no more are under way than the limit, asks again stay within their
+// budget, and what waits is shed by its deadline.
+func TestNothingIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := DefaultConfig()
+		c.Shares = []float64{0.6, 0.3, 0.1}
+		c.Start, c.MinInFlight, c.MaxInFlight = float64(rapid.IntRange(1, 30).Draw(t, "start")), 1, 40
+		c.MaxWaiting, c.RetryBurst = rapid.IntRange(1, 60).Draw(t, "waiting"), 5
+		g, err := New(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, id, first, again := 0.0, uint64(0), 0, 0
+		state := map[uint64]string{}
+		var flying []uint64
+		deadline := map[uint64]float64{}
+		move := func(id uint64, to string) {
+			if was := state[id]; was != "" && was != "wait" {
+				t.Fatalf("%d goes from %s to %s", id, was, to)
+			}
+			if state[id] = to; to == "pass" {
+				flying = append(flying, id)
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "n") {
+			now += rapid.Float64Range(0, 0.3).Draw(t, "dt")
+			if rapid.Bool().Draw(t, "arrive") || len(flying) == 0 {
+				id++
+				it := Item{ID: id, Tenant: rapid.IntRange(0, 2).Draw(t, "tenant"), Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Cost: 1,
+					Deadline: now + rapid.Float64Range(0.1, 5).Draw(t, "deadline"), Aim: 0.5, Again: rapid.IntRange(0, 3).Draw(t, "again") == 0}
+				deadline[id] = it.Deadline
+				v, _ := g.Arrive(now, it)
+				if it.Again && v != Shed {
+					again++
+				} else if !it.Again {
+					first++
+				}
+				move(id, [...]string{"pass", "wait", "shed"}[v])
+			} else {
+				k := rapid.IntRange(0, len(flying)-1).Draw(t, "which")
+				g.Done(now, flying[k], rapid.Bool().Draw(t, "placed"))
+				state[flying[k]] = "done"
+				flying = append(flying[:k], flying[k+1:]...)
+			}
+			pass, shed := g.Next(now)
+			for _, x := range pass {
+				if now > deadline[x] {
+					t.Fatal("let pass after its owner gave up")
+				}
+				move(x, "pass")
+			}
+			for _, x := range shed {
+				move(x.ID, "shed")
+			}
+			if float64(again) > c.RetryBurst+c.RetryRatio*float64(first)+c.RetryRate*now+1e-6 {
+				t.Fatalf("%d asks again beside %d first ones in %.1f s", again, first, now)
+			}
+			if g.InFlight() != len(flying) || g.fresh > len(flying) || g.fresh < 0 || g.Limit() < c.MinInFlight || g.Limit() > c.MaxInFlight {
+				t.Fatalf("%d under way, counted %d; limit %v", len(flying), g.InFlight(), g.Limit())
+			}
+			waits := 0
+			for _, s := range state {
+				if s == "wait" {
+					waits++
+				}
+			}
+			if waits != g.Waiting() || waits > c.MaxWaiting {
+				t.Fatalf("%d wait, counted %d", waits, g.Waiting())
+			}
+		}
+		// In the end all that waits is shed.
+		if _, shed := g.Next(now + 100); len(shed) != g.Waiting()+len(shed) {
+			t.Fatal("some wait for ever")
+		}
+	})
+}
+
+// Under steady overload tenants pass by their shares, whatever they ask; what one leaves the others have.
+func TestShares(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ask  []int // items each per turn
+		want []float64
+	}{
+		{"all ask too much", []int{9, 9, 9}, []float64{0.6, 0.3, 0.1}},
+		{"one bursts", []int{7, 4, 90}, []float64{0.6, 0.3, 0.1}},
+		{"one is silent", []int{0, 9, 9}, []float64{0, 0.75, 0.25}},
+		{"one asks little", []int{1, 9, 9}, []float64{0.1, 0.675, 0.225}},
+	} {
+		cfg := DefaultConfig()
+		cfg.Shares, cfg.Start, cfg.MinInFlight, cfg.MaxInFlight = []float64{0.6, 0.3, 0.1}, 10, 10, 10
+		g, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		id, passed, all := uint64(0), make([]float64, 3), 0.0
+		of := map[uint64]int{}
+		for turn := range 1000 {
+			now := float64(turn) * 0.01
+			for x := range g.inFlight {
+				g.Done(now, x, true)
+			}
+			for tenant, n := range c.ask {
+				for range n {
+					id++
+					of[id] = tenant
+					if v, _ := g.Arrive(now, Item{ID: id, Tenant: tenant, Cost: 1, Deadline: 1e9, Aim: 1}); v == Pass {
+						passed[tenant]++
+						all++
+					}
+				}
+			}
+			pass, _ := g.Next(now)
+			for _, x := range pass {
+				passed[of[x]]++
+				all++
+			}
+		}
+		for i, want := range c.want {
+			if got := passed[i] / all; math.Abs(got-want) > 0.02 {
+				t.Errorf("%s: tenant %d has %.3f of what passed, want %.3f", c.name, i, got, want)
+			}
+		}
+	}
+}
+
+// The limit falls while asks come back late and grows again when they do not.
+func TestLimitLearns(t *testing.T) {
+	g, err := New(DefaultConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, id := 0.0, uint64(0)
+	play := func(seconds, takes float64) {
+		for end := now + seconds; now < end; now += takes {
+			n := int(g.Limit())
+			ids := make([]uint64, 0, n)
+			for range n {
+				id++
+				if v, _ := g.Arrive(now, Item{ID: id, Deadline: now + 10, Aim: 1}); v == Pass {
+					ids = append(ids, id)
+				}
+			}
+			for _, x := range ids {
+				g.Done(now+takes, x, true)
+			}
+		}
+	}
+	start := g.Limit()
+	play(20, 2)
+	low := g.Limit()
+	play(20, 0.01)
+	if low >= start/2 || g.Limit() <= 2*low {
+		t.Errorf("limit %v, %v after late answers, %v after good ones", start, low, g.Limit())
+	}
+}
--- /dev/null
+++ b/internal/model/overload_test.go
@@ -0,0 +1,62 @@
+package model
+
+import (
+	"fmt"
+	"testing"
+
+	"heathshed/internal/audit"
+	"heathshed/internal/badday"
+	"heathshed/internal/settings"
+)
+
+// overload plays a steady load of so many times what the machines can hold, and counts tasks placed within a second of their making.
+func overload(t testing.TB, on bool, times, seconds float64) (good, late int, r audit.Report) {
+	s := settings.Default()
+	s.Gate.On = on
+	d := badday.Default()
+	d.Nodes, d.Schedulers, d.Trouble, d.Seconds, d.Calm = 6, 2, nil, seconds+10, 10
+	d.Load.Classes = map[string]float64{"web": 1}
+	d.Load.Cores, d.Load.Memory, d.Load.Life, d.Load.Backoff = 1, 1, 5, 2
+	// Booked cores of the fleet over the mean of what a task takes: 6 machines of 32 and 64 cores, booked twice.
+	d.Load.TasksPerSecond = times * 6 * 48 * 2 / (1.33 * 5)
+	w := play(t, d, nil)
+	for _, l := range w.Latency {
+		if l <= 1 {
+			good++
+		} else {
+			late++
+		}
+	}
+	r = w.Audit()
+	if n := len(r.Violations); n > 0 {
+		t.Fatal(n, "violations, first", r.Violations[0])
+	}
+	return good, late, r
+}
+
+// BenchmarkOverload asks for multiples of what a fleet of six machines can hold, with the gate and without, in simulated time. Goodput is
+// tasks placed within a second of their making, for each second; late are those placed after it.
+func BenchmarkOverload(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		for _, times := range []float64{0.5, 1, 2, 5, 10} {
+			b.Run(fmt.Sprintf("gate=%v/load=%vx", on, times), func(b *testing.B) {
+				good, late, r := overload(b, on, times, 60)
+				b.ReportMetric(float64(good)/60, "good/s")
+				b.ReportMetric(float64(late)/60, "late/s")
+				b.ReportMetric(float64(r.Offers)/max(float64(r.Tasks), 1), "offers/task")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
+// Ten times too much: the gate keeps nine tenths of the goodput that there is at half the load, and more than twice of what there is
+// without it. Simulated time: the same figures on any machine.
+func TestOverload(t *testing.T) {
+	half, _, _ := overload(t, true, 0.5, 30)
+	with, _, _ := overload(t, true, 10, 30)
+	without, _, _ := overload(t, false, 10, 30)
+	if float64(with) < 0.9*float64(half) || with < 2*without {
+		t.Errorf("in time: %d at half the load, %d at ten times with the gate, %d without", half, with, without)
+	}
+}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -37,6 +37,7 @@
 	}{
 		{"asks_total", "Asks brought to the placer.", &st.Asks},
 		{"asked_again_total", "Asks after the first of a task.", &st.AskedAgain},
+		{"asks_shed_total", "Asks that the gate refused.", &st.Shed},
 		{"offers_total", "Offers sent to machines.", &st.Offers},
 		{"offers_accepted_total", "Offers that machines accepted.", &st.Accepted},
 		{"offers_refused_total", "Offers that machines refused.", &st.Refusals},
@@ -58,6 +59,8 @@
 		counter(c.name, c.help, func() uint64 { return *v })
 	}
 	gauge("tasks_open", "Tasks without a final answer.", func() float64 { return float64(s.e.Open()) })
+	gauge("gate_limit", "Learned limit on asks under way.", func() float64 { return s.e.Gate().Limit() })
+	gauge("gate_waiting", "Asks that stand in line at the gate.", func() float64 { return float64(s.e.Gate().Waiting()) })
 	gauge("pods", "Pods held.", func() float64 { return float64(s.e.Store().Len(store.Pods)) })
 	gauge("machines_ready", "Machines that the inventory lists as ready or draining.", func() float64 { n, _ := s.e.Heard(); return float64(n) })
 	gauge("machines_heard", "Machines whose tasks are being watched.", func() float64 { _, n := s.e.Heard(); return float64(n) })
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,7 @@
 
 	"heathshed/internal/badday"
 	"heathshed/internal/engine"
+	"heathshed/internal/gate"
 	"heathshed/internal/machine"
 	"heathshed/internal/owner"
 	"heathshed/placer"
@@ -36,6 +37,7 @@
 	Rules         Rules    `json:"rules"`
 	Prices        Prices   `json:"prices"`
 	Owner         Owner    `json:"owner"`
+	Gate          Gate     `json:"gate"`
 	Limits        Limits   `json:"limits"`
 	StandIn       StandIn  `json:"standin"`
 	HeardWithin   float64  `json:"heardWithin"`
@@ -114,6 +116,27 @@
 	Settle float64 `json:"settle"`
 }
 
+// Gate sets up the front door: what is asked of the placer when more is asked than the fleet can start.
+type Gate struct {
+	On          bool    `json:"on"`
+	MinInFlight float64 `json:"minInFlight"`
+	MaxInFlight float64 `json:"maxInFlight"`
+	Start       float64 `json:"start"`
+	Decrease    float64 `json:"decrease"`
+	Window      float64 `json:"window"`
+	LatePart    float64 `json:"latePart"`
+	MaxWaiting  int     `json:"maxWaiting"`
+	RetryRatio  float64 `json:"retryRatio"`
+	RetryRate   float64 `json:"retryRate"`
+	RetryBurst  float64 `json:"retryBurst"`
+}
+
+// config turns the settings into the module's.
+func (g *Gate) config() gate.Config {
+	return gate.Config{MinInFlight: g.MinInFlight, MaxInFlight: g.MaxInFlight, Start: g.Start, Decrease: g.Decrease, Window: g.Window,
+		LatePart: g.LatePart, MaxWaiting: g.MaxWaiting, RetryRatio: g.RetryRatio, RetryRate: g.RetryRate, RetryBurst: g.RetryBurst, Off: !g.On}
+}
+
 // Limits bound what the program holds.
 type Limits struct {
 	Connections  int     `json:"connections"`
@@ -151,6 +174,7 @@
 func Default() Settings {
 	own := owner.DefaultPolicy()
 	m := machine.DefaultConfig()
+	g := gate.DefaultConfig()
 	return Settings{
 		Name: "heathshed", Listen: "127.0.0.1:8480", Inventory: "127.0.0.1:8481", Zone: "zone-a", LogLevel: "info", Peers: 1, Tenants: []Tenant{},
 		Classes: []Class{
@@ -168,7 +192,9 @@
 		Machines:     Machines{BookCores: m.BookCores, BookMemory: m.BookMemory, ListShowsRoom: true, PushesOut: true, MaxAttempts: 4},
 		Rules: Rules{AnswerSlack: 0.25, DrainGrace: 0.5, ColdFrom: m.ColdFrom, WarmWithin: m.WarmWithin, FallMultiple: m.FallMultiple,
 			FallWindow: m.FallWindow, ColdAlways: m.ColdAlways},
-		Owner:       Owner{own.Again, own.Soon, own.Growth, own.Most, own.Settle},
+		Owner: Owner{own.Again, own.Soon, own.Growth, own.Most, own.Settle},
+		Gate: Gate{On: true, MinInFlight: g.MinInFlight, MaxInFlight: g.MaxInFlight, Start: g.Start, Decrease: g.Decrease, Window: g.Window,
+			LatePart: g.LatePart, MaxWaiting: g.MaxWaiting, RetryRatio: g.RetryRatio, RetryRate: g.RetryRate, RetryBurst: g.RetryBurst},
 		HeardWithin: 5, ConnectWithin: 1, StopWithin: 30,
 		Limits: Limits{Connections: 16384, Body: 3 << 20, Pods: engine.DefaultMaxPods, History: engine.DefaultHistory, KeepFinished: 3600,
 			LostAfter: engine.DefaultLostAfter},
@@ -324,6 +350,11 @@
 		{path: "owner.again", v: s.Owner.Again, lo: 1, hi: 3600}, {path: "owner.soon", v: s.Owner.Soon, lo: 0, hi: 3600},
 		{path: "owner.growth", v: s.Owner.Growth, lo: 1, hi: 10}, {path: "owner.most", v: s.Owner.Most, lo: 1, hi: 3600},
 		{path: "owner.settle", v: s.Owner.Settle, lo: 0, hi: 600},
+		{path: "gate.minInFlight", v: s.Gate.MinInFlight, lo: 1, hi: s.Gate.MaxInFlight}, {path: "gate.maxInFlight", v: s.Gate.MaxInFlight, lo: 1, hi: 1e9},
+		{path: "gate.start", v: s.Gate.Start, lo: 1, hi: 1e9}, {path: "gate.decrease", v: s.Gate.Decrease, lo: 0.01, hi: 0.99},
+		{path: "gate.window", v: s.Gate.Window, lo: 0, hi: 60}, {path: "gate.latePart", v: s.Gate.LatePart, lo: 0, hi: 1},
+		{path: "gate.maxWaiting", v: float64(s.Gate.MaxWaiting), lo: 1, hi: 1e9}, {path: "gate.retryRatio", v: s.Gate.RetryRatio, lo: 0, hi: 100},
+		{path: "gate.retryRate", v: s.Gate.RetryRate, lo: 0, hi: 1e9}, {path: "gate.retryBurst", v: s.Gate.RetryBurst, lo: 0, hi: 1e9},
 		{path: "limits.connections", v: float64(s.Limits.Connections), lo: 1, hi: 1e6}, {path: "limits.body", v: float64(s.Limits.Body), lo: 1024, hi: 1 << 30},
 		{path: "limits.pods", v: float64(s.Limits.Pods), lo: 1, hi: 1e7}, {path: "limits.history", v: float64(s.Limits.History), lo: 1, hi: 1e7},
 		{path: "limits.page", v: float64(s.Limits.Page), lo: 0, hi: 1e7}, {path: "limits.keepFinished", v: s.Limits.KeepFinished, lo: 0, hi: 1e9},
@@ -358,7 +389,7 @@
 // Engine turns settings into an engine's configuration.
 func (s *Settings) Engine(seed uint64, baseRev int64) engine.Config {
 	c := engine.Config{Name: s.Name, Zone: s.Zone, Seed: seed, BaseRev: baseRev, History: s.Limits.History, MaxPods: s.Limits.Pods,
-		KeepFinished: s.Limits.KeepFinished, LostAfter: s.Limits.LostAfter,
+		KeepFinished: s.Limits.KeepFinished, LostAfter: s.Limits.LostAfter, Gate: s.Gate.config(),
 		Owner: owner.Policy{Again: s.Owner.Again, Soon: s.Owner.Soon, Growth: s.Owner.Growth, Most: s.Owner.Most, Settle: s.Owner.Settle}}
 	p := placer.Config{Self: s.Self, Peers: s.Peers, BookCores: s.Machines.BookCores, BookMemory: s.Machines.BookMemory,
 		AnswersWhenRunning: s.Machines.AnswersWhenRunning, ListShowsRoom: s.Machines.ListShowsRoom, ReportsUse: true,
