Connections are chosen by a module of their own; careful offers take fresh ones; trickling answers

An offer on a connection that its machine is just closing ends in doubt, which for a task that must not run twice costs seconds. The choice stood inside the client; it is now a pure module with a table of tests, and such offers go only on connections used within a second, or new ones, whose failure proves that nothing was sent. The stand-ins' trickle now sends a few bytes at a time.

--- a/internal/badday/badday.go
+++ b/internal/badday/badday.go
@@ -106,7 +106,7 @@
 	"preempt":        "part of the machines of one kind is drained, dies two seconds later, and comes back after for",
 	"reconnect":      "part of the machines breaks connections before reading offers",
 	"lose_answers":   "part of the machines accepts and breaks the connection instead of answering",
-	"trickle":        "part of the machines answers a second late",
+	"trickle":        "part of the machines lets its answers trickle, a few bytes at a time",
 	"clocks":         "the clocks of part of the machines are scale seconds behind, or half as many ahead",
 	"shrink":         "part of the machines drains and goes away for for",
 	"grow":           "part of the machines is there only from at on, cold",
--- /dev/null
+++ b/internal/connpool/connpool.go
@@ -0,0 +1,67 @@
+// Package connpool decides which connection a request to a machine goes out on. It is pure.
+//
+// A connection that has been idle may have been closed at the other end just now; a request on it then ends without word whether it was
+// read. For most requests that costs a repeat. For an offer of a task that must not run twice it costs a doubt, and seconds of waiting, so
+// such an offer takes a connection only while it is fresh, and otherwise a new one, whose failure proves that nothing was sent.
+package connpool
+
+// Policy bounds connections. Times are in seconds.
+type Policy struct {
+	Max     int     // open at a time
+	MaxIdle float64 // one idle for longer is not used again
+	Fresh   float64 // and for a careful request one idle for longer than this
+}
+
+// DefaultPolicy keeps well under what servers commonly allow.
+func DefaultPolicy() Policy { return Policy{Max: 32, MaxIdle: 60, Fresh: 1} }
+
+// Choice is what to do with a request.
+type Choice uint8
+
+// The choices. Use takes idle connection Index. Dial opens one. Replace closes idle connection Index, the longest idle, and opens one. Wait
+// holds the request until a connection is free.
+const (
+	Use Choice = iota
+	Dial
+	Replace
+	Wait
+)
+
+// Decision is a choice, with the idle connections that are too old to be used by any request: these are to be closed first. Index counts in
+// the list that was passed in.
+type Decision struct {
+	Choice Choice
+	Index  int
+	Stale  []int
+}
+
+// Choose decides for one request. idle holds for how long each idle connection has been unused; open counts all connections, the idle ones
+// and those being opened included. The most recently used one is taken, so that the others age and go.
+func (p Policy) Choose(idle []float64, open int, careful bool) Decision {
+	var d Decision
+	best, oldest := -1, -1
+	for i, age := range idle {
+		if age > p.MaxIdle {
+			d.Stale = append(d.Stale, i)
+			open--
+			continue
+		}
+		if best < 0 || age < idle[best] {
+			best = i
+		}
+		if oldest < 0 || age > idle[oldest] {
+			oldest = i
+		}
+	}
+	switch {
+	case best >= 0 && (!careful || idle[best] <= p.Fresh):
+		d.Choice, d.Index = Use, best
+	case open < max(p.Max, 1):
+		d.Choice = Dial
+	case oldest >= 0:
+		d.Choice, d.Index = Replace, oldest
+	default:
+		d.Choice = Wait
+	}
+	return d
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -82,6 +82,7 @@
 	Name      string
 	Attempt   int
 	Until     float64 // SendOffer: the answer is of no use after this
+	Careful   bool    // SendOffer: a doubt whether it was read is dear
 }
 
 // Engine is one scheduler. It is for one goroutine.
--- a/internal/engine/tasks.go
+++ b/internal/engine/tasks.go
@@ -184,7 +184,8 @@
 	e.Stats.Offers++
 	at.timer = e.at(act.Until, func() { e.timedOut(at) })
 	e.effect(Effect{Kind: SendOffer, Node: n.name, Address: n.address, Pod: e.offered(t), UID: t.uid,
-		Namespace: t.namespace, Name: t.name, Attempt: at.number, Until: act.Until})
+		Namespace: t.namespace, Name: t.name, Attempt: at.number, Until: act.Until,
+		Careful: t.effect(e) != placer.Repeatable})
 }
 
 // offered is the Pod as machines get it.
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -7,7 +7,9 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
+	"heathshed/internal/connpool"
 	"heathshed/internal/http1"
 	"heathshed/internal/loop"
 )
@@ -27,13 +29,13 @@
 // Client calls one server.
 type Client struct {
 	ConnectWithin float64 // seconds
-	MaxConns      int     // connections for calls at a time; further calls wait in order
-	MaxIdle       float64 // seconds after which an unused connection is not used again
+	Pool          connpool.Policy
 	Limits        http1.Limits
 
 	l     *loop.Loop
 	addr  string
 	idle  []*conn
+	ages  []float64 // scratch
 	open  int
 	queue []*Call
 }
@@ -42,7 +44,7 @@
 func New(l *loop.Loop, addr string) *Client {
 	lim := http1.DefaultLimits()
 	lim.Body = 256 << 20
-	return &Client{l: l, addr: addr, ConnectWithin: 1, MaxConns: 64, MaxIdle: 60, Limits: lim}
+	return &Client{l: l, addr: addr, ConnectWithin: 1, Pool: connpool.DefaultPolicy(), Limits: lim}
 }
 
 // Addr is the server's address.
@@ -56,6 +58,8 @@
 	// Data, where set, gets the body of a 2xx answer piece by piece; Done then has no body. Started is called at the head.
 	Started func(h *http1.Head)
 	Data    func(b []byte)
+	// Careful says that a request that may or may not have been read is dear: see package connpool.
+	Careful bool
 
 	c       *Client
 	request []byte
@@ -86,19 +90,34 @@
 }
 
 func (c *Client) start(call *Call) {
-	for len(c.idle) > 0 {
-		k := c.idle[len(c.idle)-1]
-		c.idle = c.idle[:len(c.idle)-1]
-		if k.lc.Closed() || c.l.Now()-k.since > c.MaxIdle {
+	if call.Data == nil {
+		c.ages = c.ages[:0]
+		for _, k := range c.idle {
+			c.ages = append(c.ages, c.l.Now()-k.since)
+		}
+		d := c.Pool.Choose(c.ages, c.open, call.Careful)
+		var chosen *conn
+		if d.Choice == connpool.Use || d.Choice == connpool.Replace {
+			chosen = c.idle[d.Index]
+		}
+		stale := make([]*conn, 0, len(d.Stale))
+		for _, i := range d.Stale {
+			stale = append(stale, c.idle[i])
+		}
+		for _, k := range stale {
 			k.lc.Close()
-			continue
 		}
-		k.run(call)
-		return
-	}
-	if c.open >= c.MaxConns && call.Data == nil {
-		c.queue = append(c.queue, call)
-		return
+		switch d.Choice {
+		case connpool.Use:
+			c.forget(chosen)
+			chosen.run(call)
+			return
+		case connpool.Replace:
+			chosen.lc.Close()
+		case connpool.Wait:
+			c.queue = append(c.queue, call)
+			return
+		}
 	}
 	k := &conn{c: c, call: call, dec: http1.Decoder{Limits: c.Limits, Responses: true, NoBody: call.head}}
 	if call.Data != nil {
@@ -121,6 +140,13 @@
 	k.lc = lc
 }
 
+// forget takes a connection out of the idle ones.
+func (c *Client) forget(k *conn) {
+	if i := slices.Index(c.idle, k); i >= 0 {
+		c.idle = slices.Delete(c.idle, i, i+1)
+	}
+}
+
 // Cancel ends the call; Done gets ErrCancelled.
 func (call *Call) Cancel() { call.abort(ErrCancelled) }
 
@@ -149,10 +175,7 @@
 
 // Close drops idle connections and fails what waits.
 func (c *Client) Close() {
-	for _, k := range c.idle {
-		k.lc.Close()
-	}
-	c.idle = nil
+	c.CloseIdle()
 	q := c.queue
 	c.queue = nil
 	for _, call := range q {
@@ -274,12 +297,7 @@
 	if !k.stream {
 		k.c.open--
 	}
-	for i, x := range k.c.idle {
-		if x == k {
-			k.c.idle = append(k.c.idle[:i], k.c.idle[i+1:]...)
-			break
-		}
-	}
+	k.c.forget(k)
 	if call := k.call; call != nil {
 		k.call = nil
 		if !k.opened {
--- a/internal/scheduler/hardcases_test.go
+++ b/internal/scheduler/hardcases_test.go
@@ -427,3 +427,15 @@
 	}
 	c.audit()
 }
+
+// Answers that trickle a few bytes at a time are read whole; nothing is asked twice on their account.
+func TestTrickledAnswers(t *testing.T) {
+	c := start(t, nil)
+	c.fault(fault.Machine{Trickle: 0.5})
+	c.submit(badday.Job{Name: "a", Class: "once", Service: "s", Tasks: 4, Cores: 0.5, Memory: 0.5, Life: 60, Backoff: 0})
+	c.eventually("settled", func() bool { return settled(c.job("a")) != "" })
+	if r := settled(c.job("a")); r != meta.Placed || c.seen(audit.Offered) != 4 {
+		t.Errorf("settled as %s after %d offers", r, c.seen(audit.Offered))
+	}
+	c.audit()
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -206,7 +206,7 @@
 func (s *Scheduler) follow(name, address string) {
 	s.leave(name)
 	m := &machine{name: name, client: httpc.New(s.l, address)}
-	m.client.ConnectWithin, m.client.MaxConns = s.o.ConnectWithin, 32
+	m.client.ConnectWithin = s.o.ConnectWithin
 	s.machines[name] = m
 	m.pods = &kclient.Reflector{Loop: s.l, Client: m.client, Path: "/api/v1/pods", Rand: s.rng,
 		Labels: meta.Scheduler + "=" + s.o.Engine.Name, Retry: backoff.Backoff{Min: 0.1, Max: 1}, ListWithin: 5, Quiet: s.o.WatchQuiet}
@@ -268,7 +268,7 @@
 		return
 	}
 	key := callKey{x.UID, x.Attempt}
-	call := &httpc.Call{Done: func(h *http1.Head, body []byte, err error) {
+	call := &httpc.Call{Careful: x.Careful, Done: func(h *http1.Head, body []byte, err error) {
 		delete(s.calls, key)
 		answer(&ans, h, body, err)
 		s.e.OfferDone(s.l.Now(), ans)
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -8,7 +8,7 @@
 	Stall      float64 `json:"stall,omitempty"`      // decides and starts nothing
 	LoseAnswer float64 `json:"loseAnswer,omitempty"` // accepts, and breaks the connection in place of the answer
 	Reset      float64 `json:"reset,omitempty"`      // breaks the connection before looking at the offer
-	Trickle    float64 `json:"trickle,omitempty"`    // holds each answer back for a second
+	Trickle    float64 `json:"trickle,omitempty"`    // lets each answer trickle, a few bytes at a time
 	Error      float64 `json:"error,omitempty"`      // answers 500
 	Class      string  `json:"class,omitempty"`
 	Crash      float64 `json:"crash,omitempty"` // dies with all it holds and comes back cold after that long
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -65,6 +65,7 @@
 
 	refuse, lose, reset, trickle, errs, cutUntil float64
 	errClass                                     string
+	dripping                                     bool
 	clock                                        float64 // how far its clock is ahead
 }
 
@@ -79,7 +80,7 @@
 	}
 	if o.Inventory != "" {
 		n.inv = httpc.New(l, o.Inventory)
-		n.inv.MaxConns = 1
+		n.inv.Pool.Max = 1
 	}
 	n.beat()
 	return n, nil
@@ -303,12 +304,56 @@
 	resp.Header = append(resp.Header, http1.Field{Name: "Content-Type", Value: "application/json"},
 		http1.Field{Name: meta.LoadHeader, Value: n.load}, http1.Field{Name: meta.BootHeader, Value: n.boot})
 	if n.l.Now() < n.trickle {
-		n.l.After(1, func() { ex.Respond(resp) })
+		n.l.After(0.05, func() {
+			ex.Respond(http1.Response{Status: resp.Status, Header: resp.Header, Stream: &slow{l: n.l, rest: resp.Body}})
+		})
+		n.drip()
 		return
 	}
 	ex.Respond(resp)
 }
 
+// slow is a body that trickles: a few bytes every twentieth of a second.
+type slow struct {
+	l    *loop.Loop
+	rest []byte
+	last float64
+}
+
+const dripEvery, dripBytes = 0.05, 64
+
+// Pull implements http1.Stream.
+func (s *slow) Pull(b []byte, _ int) ([]byte, bool) {
+	if now := s.l.Now(); now >= s.last+dripEvery*0.9 {
+		n := min(len(s.rest), dripBytes)
+		b, s.rest, s.last = append(b, s.rest[:n]...), s.rest[n:], now
+	}
+	return b, len(s.rest) == 0
+}
+
+// Stopped implements http1.Stream.
+func (s *slow) Stopped() {}
+
+// drip keeps trickling answers going.
+func (n *Node) drip() {
+	if n.dripping {
+		return
+	}
+	n.dripping = true
+	var again func()
+	again = func() {
+		if n.m == nil {
+			n.dripping = false
+			return
+		}
+		n.http.Kick()
+		if n.dripping = n.l.Now() < n.trickle+5; n.dripping {
+			n.l.After(dripEvery, again)
+		}
+	}
+	n.l.After(dripEvery, again)
+}
+
 func status(code int, reason, message string) http1.Response {
 	b, _ := json.Marshal(&metav1.Status{TypeMeta: metav1.TypeMeta{Kind: "Status", APIVersion: "v1"}, Status: metav1.StatusFailure,
 		Code: int32(code), Reason: metav1.StatusReason(reason), Message: message})
