--- a/internal/api/read.go
+++ b/internal/api/read.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/json"
 	"errors"
@@ -61,6 +62,9 @@
 	if c == nil {
 		return http1.Response{}, apierrors.NewNotFound(r.resource(), r.name)
 	}
+	if wantsTable(r.Head.Header.Get("Accept")) {
+		return s.table(r, metav1.ListMeta{ResourceVersion: c.Object.GetResourceVersion()}, []store.Object{c.Object})
+	}
 	return raw(200, encoded(c)), nil
 }
 
@@ -152,6 +156,8 @@
 // page writes one page of a list. The objects' texts are those that watches use.
 func (s *Server) page(r *request, sel selector, sn store.Snapshot, after string, limit int) (http1.Response, error) {
 	items := []byte{}
+	asTable := r.Head.Method == "GET" && wantsTable(r.Head.Header.Get("Accept"))
+	var objects []store.Object
 	n, more, last := 0, false, ""
 	left := int64(0)
 	sn.Scan(sel.namespace, after, func(key string, c *store.Change) bool {
@@ -164,10 +170,15 @@
 			// The rest is counted only where that costs nothing.
 			return sel.all && left < 1<<16
 		}
-		if n > 0 {
+		switch {
+		case asTable:
+			objects = append(objects, c.Object)
+		case n > 0:
 			items = append(items, ',')
+			fallthrough
+		default:
+			items = append(items, encoded(c)...)
 		}
-		items = append(items, encoded(c)...)
 		n++
 		last = key
 		return true
@@ -181,6 +192,9 @@
 		}
 		s.Store.Keep(s.now, sn)
 	}
+	if asTable {
+		return s.table(r, m, objects)
+	}
 	head, err := json.Marshal(&m)
 	if err != nil {
 		return http1.Response{}, fmt.Errorf("encode list: %w", err)
@@ -325,7 +339,7 @@
 			if !errors.Is(err, store.ErrExpired) {
 				text = err.Error()
 			}
-			return event(b, "ERROR", statusOf(expired(text)).Body), true
+			return event(b, "ERROR", bytes.TrimSpace(statusOf(expired(text)).Body)), true
 		}
 		if len(changes) == 0 {
 			w.rev = st.Rev()
