A machine's word that it lacks a task counts for its present life only

Stops now bring the machine's life, and a word of another life than the attempt was sent to ends as may have run.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -379,8 +379,12 @@
 	case Started:
 		o.started = true
 	case Ended:
-		o.ended = true
-		o.neverRan = ev.Reason == NeverRan
+		// It ends what later attempts of the task at this machine repeated as well.
+		for _, p := range t.offers {
+			if p.node == ev.Node && !p.refused && !p.sealed && !p.ended {
+				p.ended, p.neverRan = true, ev.Reason == NeverRan
+			}
+		}
 	}
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	batchv1 "k8s.io/api/batch/v1"
 	corev1 "k8s.io/api/core/v1"
 
 	"heathshed/internal/meta"
@@ -69,3 +70,44 @@
 		t.Errorf("the machine is taken back to life %q", got)
 	}
 }
+
+// A machine that says that it does not have a task speaks of its present life only. If the attempt was sent to an earlier one it may have
+// run there, and a task that must not run twice is not asked for again.
+func TestFenceAnsweredByAnotherLife(t *testing.T) {
+	for _, c := range []struct {
+		name, boot string
+		again      bool // it is asked for again
+	}{{"same life", "a", true}, {"another life", "b", false}} {
+		e, err := New(Config{Name: "s", Classes: []string{"once"}, Kinds: []string{"k"}, Placer: placer.Config{Peers: 1, MaxAttempts: 3, AnswerSlack: 0.1,
+			Classes: []placer.Class{{Effect: placer.Once, Aim: 1, Deadline: 2, NodeKind: -1, CalmUpTo: 1, FadesOver: 1}},
+			Kinds:   []placer.Kind{{Cores: 8, Memory: 8}}, BookCores: 2, BookMemory: 2, ListShowsRoom: true}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := listedNode("a", 0)
+		n.Annotations[meta.Free] = "cores=8.0, memory=8.0"
+		e.NodesListed(1000, FullList, []*corev1.Node{n}, nil)
+		e.NodePods(1000, "n", "a", 1, nil)
+		j := &batchv1.Job{}
+		j.Name, j.Namespace = "j", "default"
+		if _, err := e.CreateJob(1001, j, false); err != nil {
+			t.Fatal(err)
+		}
+		offers, now := 0, 1001.0
+		for now < 1060 {
+			for _, x := range e.Ready(nil) {
+				switch x.Kind {
+				case SendOffer:
+					offers++ // and no answer comes
+				case StopTask:
+					e.StopDone(now, StopAnswer{UID: x.UID, Node: x.Node, Attempt: x.Attempt, Known: true, Boot: c.boot})
+				}
+			}
+			now = min(e.NextWake(), 1060)
+			e.Tick(now)
+		}
+		if (offers > 1) != c.again {
+			t.Errorf("%s: %d offers", c.name, offers)
+		}
+	}
+}
--- a/internal/engine/tasks.go
+++ b/internal/engine/tasks.go
@@ -78,9 +78,10 @@
 	sent     float64
 	until    float64
 	timer    *timer
-	told     bool // the placer has its outcome
-	boot     string
-	rev      int64 // the machine's revision at acceptance
+	told     bool   // the placer has its outcome
+	life     string // of the machine, as known at the offer
+	boot     string // of the machine, where it accepted
+	rev      int64  // the machine's revision at acceptance
 	fence    *timer
 	fencing  bool
 	tries    int
@@ -178,7 +179,7 @@
 		panic(fmt.Sprintf("engine: task %s has an attempt out already", t.uid))
 	}
 	t.attempts++
-	at := &attempt{a: a, t: t, seq: act.Attempt, number: t.attempts, n: n, sent: e.now, until: act.Until}
+	at := &attempt{a: a, t: t, seq: act.Attempt, number: t.attempts, n: n, sent: e.now, until: act.Until, life: n.boot}
 	a.attempts = append(a.attempts, at)
 	t.open = at
 	e.Stats.Offers++
@@ -424,15 +425,19 @@
 	UID     types.UID
 	Node    string
 	Attempt int
-	Known   bool // the machine answered
-	Had     bool // it has or had the task under this attempt
-	Ran     bool // and the task may have run
+	Boot    string // identity of the machine's life
+	Known   bool   // the machine answered
+	Had     bool   // it has or had the task under this attempt
+	Ran     bool   // and the task may have run
 }
 
 // StopDone takes the answer to StopTask.
 func (e *Engine) StopDone(now float64, ans StopAnswer) {
 	e.begin(now)
 	defer e.end()
+	if n := e.nodes[ans.Node]; n != nil && ans.Known {
+		e.learn(n, ans.Boot)
+	}
 	t := e.tasks[ans.UID]
 	if t == nil {
 		return
@@ -443,7 +448,8 @@
 		}
 		at.fencing = false
 		if ans.Known {
-			e.resolved(at, ans.Had && ans.Ran)
+			// A machine that does not have the task says so of its present life only.
+			e.resolved(at, ans.Had && ans.Ran || !ans.Had && (at.life == "" || at.life != ans.Boot))
 			return
 		}
 		e.stopTimer(at.fence)
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -580,7 +580,7 @@
 			back(w.cfg.ConnectWithin)
 			return
 		}
-		ans.Known = true
+		ans.Known, ans.Boot = true, n.boot
 		ans.Had, ans.Ran = n.m.Stop(w.now, string(x.UID), x.Attempt)
 		if !ans.Had {
 			w.tap(audit.Event{What: audit.Sealed, Node: n.cfg.Name, UID: string(x.UID), Attempt: x.Attempt})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -352,6 +352,9 @@
 	m.client.Do("DELETE", podPath(ns, name), []http1.Field{{Name: "Content-Type", Value: "application/json"},
 		{Name: meta.AttemptHeader, Value: strconv.Itoa(x.Attempt)}}, body, 5, &httpc.Call{
 		Done: func(h *http1.Head, body []byte, err error) {
+			if err == nil {
+				ans.Boot = h.Header.Get(meta.BootHeader)
+			}
 			switch {
 			case err != nil:
 			case h.Status == 404:
