Recorded load: access logs, JSON lines and HAR read as streams in order of time

What cannot be read is reported by kind and place. Entries are ordered within a window, whole seconds spread inside the second; one beyond the window is reported, never moved.

--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,180 @@
+package record
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"heathshed/internal/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, "200") }
+
+// all reads a source to its end: entries, and problems by kind.
+func all(t testing.TB, r Reader) (out []Entry, kinds map[string]int) {
+	kinds = map[string]int{}
+	for range 1 << 20 {
+		e, err := r.Next()
+		var p *Problem
+		switch {
+		case errors.Is(err, io.EOF):
+			return out, kinds
+		case errors.As(err, &p):
+			kinds[p.Kind]++
+		case err != nil:
+			t.Fatal(err)
+		default:
+			out = append(out, e)
+		}
+	}
+	t.Fatal("no end")
+	return nil, nil
+}
+
+func format(t testing.TB, s string) *Format {
+	f, err := ParseFormat(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+const good = `10.0.0.1 - ana [10/Oct/2026:13:55:36 -0500] "GET /a/b?c=d HTTP/1.1" 200 2326`
+
+func TestLogLines(t *testing.T) {
+	const ng = `$remote_addr - $remote_user [$time_local] "$request" $status $body_bytes_sent "$http_referer" $request_time`
+	for _, c := range []struct{ name, format, line, kind string }{
+		{"common", Common, good, ""},
+		{"no bytes", Common, strings.Replace(good, "2326", "-", 1), ""},
+		{"combined", Combined, good + ` "-" "a \"b\" c"`, ""},
+		{"nginx", ng, good + ` "http://x/" 0.120`, ""},
+		{"method and path apart", `%t %m %U%%%q %D`, `[10/Oct/2026:13:55:36 -0500] GET /a/b%?c=d 1500`, ""},
+		{"cut", Common, good[:60], Truncated},
+		{"no request", Common, strings.Replace(good, "GET /a/b?c=d HTTP/1.1", "-", 1), BadRequest},
+		{"time", Common, strings.Replace(good, "Oct", "Okt", 1), BadTime},
+		{"year", Common, strings.Replace(good, "2026", "1066", 1), BadTime},
+		{"status", Common, strings.Replace(good, " 200 ", " 2x0 ", 1), Malformed},
+		{"more", Common, good + " x", Malformed},
+		{"other", Common, "hello", Truncated},
+	} {
+		out, kinds := all(t, NewLog(strings.NewReader(c.line+map[bool]string{true: "", false: "\n"}[c.kind == Truncated]), "f", format(t, c.format)))
+		if c.kind == "" && (len(out) != 1 || out[0].Path != "/a/b" || out[0].Query != "c=d" || out[0].Method != "GET" || out[0].At != 1791658536 || !out[0].Coarse) {
+			t.Errorf("%s: %+v, %v", c.name, out, kinds)
+		}
+		if c.kind != "" && (len(out) != 0 || kinds[c.kind] != 1) {
+			t.Errorf("%s: %+v, %v, want %s", c.name, out, kinds, c.kind)
+		}
+	}
+	for _, bad := range []string{"", "%h %r", "%t %b", "%t%r", "%t %{x", "%t %r %Z", "%t %r %"} {
+		if _, err := ParseFormat(bad); err == nil {
+			t.Errorf("format %q was taken", bad)
+		}
+	}
+}
+
+func har(n int) string {
+	var b strings.Builder
+	b.WriteString(`{"log":{"version":"1.2","creator":{"name":"x","x":[1,{"entries":[2]}]},"entries":[`)
+	for i := range n {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"startedDateTime":"2026-10-10T13:55:%02d.5Z","time":12.5,"request":{"method":"GET","url":"http://h.example/p%d?q"},"response":{"status":200,"content":{"size":5}}}`, i, i)
+	}
+	return b.String() + `],"pages":[]}}`
+}
+
+// Cut at every byte: no panic, every whole entry before the cut is there, and the cut is told.
+func TestCutAtEveryByte(t *testing.T) {
+	text := har(4)
+	for i := range len(text) {
+		out, kinds := all(t, NewHAR(strings.NewReader(text[:i]), "f"))
+		whole := strings.Count(text[:i], `"size":5}}}`)
+		if len(out) != whole || i < strings.Index(text, `],"pages"`) && kinds[Truncated] != 1 {
+			t.Fatalf("cut at %d: %d entries, want %d; %v", i, len(out), whole, kinds)
+		}
+	}
+	out, kinds := all(t, NewHAR(strings.NewReader(text), "f"))
+	if len(out) != 4 || len(kinds) != 0 || out[3].Host != "h.example" || out[3].Path != "/p3" || out[3].Query != "q" || out[3].Duration != 0.0125 {
+		t.Fatalf("%+v, %v", out, kinds)
+	}
+	log := strings.Repeat(good+"\n", 3)
+	for i := range len(log) {
+		out, _ := all(t, NewLog(strings.NewReader(log[:i]), "f", format(t, Common)))
+		if n := strings.Count(log[:i], "\n"); len(out) < n || len(out) > n+1 {
+			t.Fatalf("cut at %d: %d entries of %d", i, len(out), n)
+		}
+	}
+}
+
+func TestJSONLinesAndGzip(t *testing.T) {
+	text := `{"time":"2026-10-10T13:55:36.25Z","method":"GET","path":"/a?b","status":200,"duration":0.5}` + "\n" +
+		`{"time":1791640536250,"path":"/c"}` + "\n{\"time\":\"x\",\"path\":\"/\"}\n{\"time\":1791640536}\n{\"time\":"
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	z.Write([]byte(text))
+	z.Close()
+	r, err := Open(&b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, kinds := all(t, NewJSONLines(r, "f", DefaultJSONFields()))
+	if len(out) != 2 || out[0].At != 1791640536.25 || out[1].At != 1791640536.25 || out[0].Query != "b" || kinds[BadTime] != 1 || kinds[BadRequest] != 1 || kinds[Truncated] != 1 {
+		t.Errorf("%+v, %v", out, kinds)
+	}
+}
+
+// Whatever the order in which entries come: what is given out is in order, nothing is lost or doubled, equal times keep their order, and
+// only what is older than the window is turned back.
+func TestSorter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Sorter{Window: rapid.Float64Range(0, 5).Draw(t, "window")}
+		var out []Entry
+		back, newest, n := 0, 0.0, rapid.IntRange(0, 80).Draw(t, "n")
+		for i := range n {
+			at := 100 + float64(rapid.IntRange(0, 40).Draw(t, "at"))/4
+			var p *Problem
+			out, p = s.Add(Entry{At: at, Coarse: rapid.Bool().Draw(t, "coarse"), Line: int64(i)}, out)
+			if p != nil {
+				back++
+				if at >= newest-s.Window {
+					t.Fatalf("%v was turned back, newest %v, window %v", at, newest, s.Window)
+				}
+			}
+			newest = max(newest, at)
+		}
+		out = s.Flush(out)
+		if len(out)+back != n {
+			t.Fatalf("%d given out, %d turned back of %d", len(out), back, n)
+		}
+		for i := 1; i < len(out); i++ {
+			if out[i].At < out[i-1].At || out[i].At == out[i-1].At && out[i].Line < out[i-1].Line {
+				t.Fatalf("%v after %v", out[i], out[i-1])
+			}
+		}
+	})
+}
+
+func FuzzLog(f *testing.F) {
+	f.Add(good)
+	f.Add(good + "\n\n# c\n" + good[:30])
+	combined := format(f, Combined)
+	f.Fuzz(func(t *testing.T, text string) {
+		out, kinds := all(t, NewLog(strings.NewReader(text), "f", combined))
+		n := len(out)
+		for _, k := range kinds {
+			n += k
+		}
+		if want := strings.Count(text, "\n") + 1; n > want {
+			t.Fatalf("%d entries and problems in %d lines", n, want)
+		}
+		all(t, NewJSONLines(strings.NewReader(text), "f", DefaultJSONFields()))
+		all(t, NewHAR(strings.NewReader(text), "f"))
+	})
+}
