--- /dev/null
+++ b/cmd/heathshed/load.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"heathshed/internal/record"
+)
+
+func loadCommand() *cobra.Command {
+	c := &cobra.Command{Use: "load", Short: "Work with recorded load"}
+	c.AddCommand(inspectCommand())
+	return c
+}
+
+// source is how recorded files are read.
+type source struct {
+	format string
+	window float64
+	strict bool
+	report string
+}
+
+func (s *source) add(c *cobra.Command) {
+	c.Flags().StringVar(&s.format, "format", "auto", "har, jsonl, common, combined, or an Apache LogFormat or nginx log_format; auto looks at the first bytes")
+	c.Flags().Float64Var(&s.window, "window", 5, "seconds within which entries that are out of order are put in order")
+	c.Flags().BoolVar(&s.strict, "strict", false, "stop at the first entry that cannot be read")
+	c.Flags().StringVar(&s.report, "report", "", "file that gets a JSON line for each entry that was skipped")
+}
+
+// open makes a reader for one file; - is standard input.
+func (s *source) open(name string) (record.Reader, io.Closer, error) {
+	f := os.Stdin
+	if name != "-" {
+		var err error
+		if f, err = os.Open(name); err != nil {
+			return nil, nil, err
+		}
+	}
+	r, err := record.Open(f)
+	if err != nil {
+		return nil, f, fmt.Errorf("%s: %w", name, err)
+	}
+	format := s.format
+	if format == "auto" {
+		if format, r, err = record.Guess(r); err != nil {
+			return nil, f, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	switch format {
+	case "har":
+		return record.NewHAR(r, name), f, nil
+	case "jsonl":
+		return record.NewJSONLines(r, name, record.DefaultJSONFields()), f, nil
+	case "common":
+		format = record.Common
+	case "combined":
+		format = record.Combined
+	}
+	lf, err := record.ParseFormat(format)
+	if err != nil {
+		return nil, f, err
+	}
+	return record.NewLog(r, name, lf), f, nil
+}
+
+// inspection is what inspect tells.
+type inspection struct {
+	Entries int            `json:"entries"`
+	Skipped map[string]int `json:"skipped"`
+	First   string         `json:"first,omitempty"`
+	Last    string         `json:"last,omitempty"`
+	Methods map[string]int `json:"methods"`
+	Status  map[string]int `json:"status"`
+	Curve   []int          `json:"curve"` // entries in each of up to sixty equal parts of the time
+	first   float64
+	last    float64
+	times   []float32 // since the first, in seconds; four bytes an entry
+}
+
+func (x *inspection) see(e *record.Entry) {
+	if x.Entries == 0 {
+		x.first = e.At
+	}
+	x.Entries++
+	x.last = max(x.last, e.At)
+	if len(x.Methods) < 100 || x.Methods[e.Method] > 0 {
+		x.Methods[e.Method]++
+	}
+	if e.Status > 0 {
+		x.Status[fmt.Sprintf("%dxx", e.Status/100)]++
+	}
+	x.times = append(x.times, float32(e.At-x.first))
+}
+
+func (x *inspection) finish() {
+	if x.Entries == 0 {
+		return
+	}
+	stamp := func(s float64) string { return time.UnixMicro(int64(s * 1e6)).UTC().Format(time.RFC3339Nano) }
+	x.First, x.Last = stamp(x.first), stamp(x.last)
+	x.Curve = make([]int, 60)
+	span := max(x.last-x.first, 1e-9)
+	for _, t := range x.times {
+		x.Curve[min(59, int(float64(t)/span*60))]++
+	}
+}
+
+func inspectCommand() *cobra.Command {
+	var s source
+	var asJSON bool
+	c := &cobra.Command{Use: "inspect FILE...", Short: "Show what recorded files hold, and what of them cannot be read",
+		Long: "Read access logs, JSON lines or HAR files (gzip and zstd too) and show counts, the arrival curve and what was skipped.\nExit code 4 says that entries were skipped.",
+		Args: cobra.MinimumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			x := inspection{Skipped: map[string]int{}, Methods: map[string]int{}, Status: map[string]int{}}
+			var report *json.Encoder
+			if s.report != "" {
+				w, err := os.Create(s.report)
+				if err != nil {
+					return err
+				}
+				defer w.Close()
+				report = json.NewEncoder(w)
+			}
+			shown := 0
+			skip := func(p *record.Problem) error {
+				x.Skipped[p.Kind]++
+				if report != nil {
+					if err := report.Encode(p); err != nil {
+						return err
+					}
+				}
+				if shown++; shown <= 10 && !asJSON {
+					fmt.Fprintf(c.ErrOrStderr(), "%v: %q\n", p, p.Text)
+				}
+				if s.strict {
+					return p
+				}
+				return nil
+			}
+			for _, name := range args {
+				if err := s.read(name, x.see, skip); err != nil {
+					return err
+				}
+			}
+			x.finish()
+			if asJSON {
+				if err := json.NewEncoder(c.OutOrStdout()).Encode(&x); err != nil {
+					return err
+				}
+			} else {
+				printInspection(c.OutOrStdout(), &x)
+			}
+			if len(x.Skipped) > 0 {
+				return &exitError{4, errors.New("some entries were skipped")}
+			}
+			return nil
+		}}
+	s.add(c)
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+// read gives the entries of one file in order of time.
+func (s *source) read(name string, see func(*record.Entry), skip func(*record.Problem) error) error {
+	r, f, err := s.open(name)
+	if f != nil {
+		defer f.Close()
+	}
+	if err != nil {
+		return err
+	}
+	sorter := record.Sorter{Window: s.window}
+	var out []record.Entry
+	give := func() {
+		for i := range out {
+			see(&out[i])
+		}
+		out = out[:0]
+	}
+	for {
+		e, err := r.Next()
+		var p *record.Problem
+		switch {
+		case errors.Is(err, io.EOF):
+			out = sorter.Flush(out)
+			give()
+			return nil
+		case errors.As(err, &p):
+		case err != nil:
+			return fmt.Errorf("%s: %w", name, err)
+		default:
+			out, p = sorter.Add(e, out)
+			give()
+		}
+		if p != nil {
+			if err := skip(p); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func printInspection(w io.Writer, x *inspection) {
+	fmt.Fprintf(w, "entries %d\n", x.Entries)
+	if x.Entries > 0 {
+		fmt.Fprintf(w, "first   %s\nlast    %s\n", x.First, x.Last)
+	}
+	counts := func(name string, m map[string]int) {
+		var parts []string
+		for _, k := range slices.Sorted(maps.Keys(m)) {
+			parts = append(parts, fmt.Sprintf("%s %d", k, m[k]))
+		}
+		if len(parts) > 0 {
+			fmt.Fprintf(w, "%-7s %s\n", name, strings.Join(parts, ", "))
+		}
+	}
+	counts("methods", x.Methods)
+	counts("status", x.Status)
+	counts("skipped", x.Skipped)
+	if len(x.Curve) > 0 {
+		const bars = " ▁▂▃▄▅▆▇█"
+		top := max(slices.Max(x.Curve), 1)
+		line := ""
+		for _, n := range x.Curve {
+			line += string([]rune(bars)[(n*8+top-1)/top])
+		}
+		fmt.Fprintf(w, "curve   |%s|\n", line)
+	}
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -438,3 +438,26 @@
 	}
 	return out
 }
+
+// Guess tells the format of a source from its first bytes: "har", "jsonl", "combined" or "common". The reader that it returns starts at
+// the beginning.
+func Guess(r io.Reader) (format string, whole io.Reader, err error) {
+	b := bufio.NewReaderSize(r, 64<<10)
+	head, err := b.Peek(4096)
+	if err != nil && !errors.Is(err, io.EOF) && len(head) == 0 {
+		return "", b, err
+	}
+	head = bytes.TrimSpace(head)
+	line, _, _ := bytes.Cut(head, []byte("\n"))
+	switch {
+	case len(head) == 0:
+		return "common", b, nil
+	case head[0] == '{' && json.Valid(line) && !bytes.HasPrefix(bytes.TrimLeft(line[1:], " \t"), []byte(`"log"`)):
+		return "jsonl", b, nil
+	case head[0] == '{':
+		return "har", b, nil
+	case bytes.Count(line, []byte(`"`)) >= 6:
+		return "combined", b, nil
+	}
+	return "common", b, nil
+}
