One queue of timers for engine, machines and loop

Three copies of the same heap stood in three packages. They are one pure package now, with the order of equal times stated once. Engine, loop, machine, model and scheduler tests run as before.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,10 +9,8 @@
 package engine
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"sort"
 
@@ -24,6 +22,7 @@
 	"heathshed/internal/gate"
 	"heathshed/internal/owner"
 	"heathshed/internal/store"
+	"heathshed/internal/timers"
 	"heathshed/placer"
 )
 
@@ -100,8 +99,7 @@
 	feeding bool
 	effects []Effect
 
-	timers   timers
-	timerSeq uint64
+	timers timers.Queue
 
 	jobs     map[string]*job // by namespace/name
 	tasks    map[types.UID]*task
@@ -197,18 +195,18 @@
 }
 
 // NextWake is when Tick wants to be called, infinity if never.
-func (e *Engine) NextWake() float64 {
-	if len(e.timers) == 0 {
-		return math.Inf(1)
-	}
-	return e.timers[0].at
-}
+func (e *Engine) NextWake() float64 { return e.timers.Next() }
 
 // Tick lets due timers run.
 func (e *Engine) Tick(now float64) {
 	e.begin(now)
-	for n := len(e.timers); n > 0 && len(e.timers) > 0 && e.timers[0].at <= e.now; n-- {
-		heap.Pop(&e.timers).(*timer).fn()
+	// What is added meanwhile for now waits for the next call.
+	for n := e.timers.Len(); n > 0; n-- {
+		t := e.timers.Pop(e.now)
+		if t == nil {
+			break
+		}
+		t.Run()
 	}
 	e.end()
 }
@@ -293,47 +291,14 @@
 
 func (e *Engine) effect(x Effect) { e.effects = append(e.effects, x) }
 
-type timer struct {
-	at    float64
-	seq   uint64
-	index int
-	fn    func()
-}
-
-type timers []*timer
-
-func (h timers) Len() int { return len(h) }
-func (h timers) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].seq < h[j].seq
-}
-func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].index, h[j].index = i, j }
-func (h *timers) Push(x any)   { x.(*timer).index = len(*h); *h = append(*h, x.(*timer)) }
-func (h *timers) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	t.index = -1
-	return t
-}
+// timer is a function that runs in a later Tick.
+type timer = timers.Timer
 
-func (e *Engine) at(at float64, fn func()) *timer {
-	e.timerSeq++
-	t := &timer{at: at, seq: e.timerSeq, fn: fn}
-	heap.Push(&e.timers, t)
-	return t
-}
+func (e *Engine) at(at float64, fn func()) *timer { return e.timers.Add(at, fn) }
 
 func (e *Engine) after(d float64, fn func()) *timer { return e.at(e.now+max(d, 0), fn) }
 
-func (e *Engine) stopTimer(t *timer) {
-	if t != nil && t.index >= 0 {
-		heap.Remove(&e.timers, t.index)
-	}
-}
+func (e *Engine) stopTimer(t *timer) { e.timers.Stop(t) }
 
 // newUID makes a random identity in the form of a UUID, from the engine's own seed.
 func (e *Engine) newUID() types.UID {
--- a/internal/engine/jobs.go
+++ b/internal/engine/jobs.go
@@ -234,8 +234,8 @@
 		service: j.service, cores: j.cores, memory: j.memory, budget: s.budget}
 	t.name = fmt.Sprintf("%.52s-%d-%s", j.obj.Name, i, e.suffix())
 	t.giveUp = e.now + e.cfg.Owner.Patience(e.cfg.Placer.Classes[j.class].Deadline, t.budget)
-	if j.deadline != nil && j.deadline.index >= 0 {
-		t.giveUp = min(t.giveUp, j.deadline.at)
+	if j.deadline.Pending() {
+		t.giveUp = min(t.giveUp, j.deadline.At)
 	}
 	s.cur = t
 	j.active++
--- a/internal/engine/tasks.go
+++ b/internal/engine/tasks.go
@@ -159,7 +159,7 @@
 		}
 	}
 	at := max(e.gate.NextDeadline(), e.now+0.001)
-	if e.gateAt == nil || e.gateAt.index < 0 || at < e.gateAt.at {
+	if !e.gateAt.Pending() || at < e.gateAt.At {
 		e.stopTimer(e.gateAt)
 		e.gateAt = nil
 		if !math.IsInf(at, 1) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -3,12 +3,11 @@
 // Package loop is the one event loop that every heathshed process runs on: epoll readiness, non-blocking
 // sockets, timers and posted functions, all on the goroutine that calls Run.
 //
-// It knows bytes and connections and nothing of what they mean. It may touch the operating system; it imports
-// no other package of the project.
+// It knows bytes and connections and nothing of what they mean. It may touch the operating system; of the project it
+// imports only the queue of timers.
 package loop
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -16,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"heathshed/internal/timers"
 )
 
 // Limits that hold for every connection unless set otherwise.
@@ -47,8 +48,7 @@
 	start  time.Time
 	wall   float64 // Unix seconds at start
 	now    float64
-	timers timerHeap
-	seq    uint64
+	timers timers.Queue
 	dirty  []*Conn
 	again  []*Conn
 	buf    []byte
@@ -137,8 +137,8 @@
 		wait := -1
 		if waiting || len(l.again) > 0 {
 			wait = 0
-		} else if len(l.timers) > 0 {
-			d := l.timers[0].at - l.readClock()
+		} else if l.timers.Len() > 0 {
+			d := l.timers.Next() - l.readClock()
 			switch {
 			case d <= 0:
 				wait = 0
@@ -183,9 +183,12 @@
 	for _, f := range posted {
 		f()
 	}
-	for n := len(l.timers); n > 0 && len(l.timers) > 0 && l.timers[0].at <= l.now; n-- {
-		t := heap.Pop(&l.timers).(*Timer)
-		t.fn()
+	for n := l.timers.Len(); n > 0; n-- {
+		t := l.timers.Pop(l.now)
+		if t == nil {
+			break
+		}
+		t.Run()
 	}
 	again := l.again
 	l.again = nil
@@ -227,60 +230,25 @@
 
 // Timer is a function that runs later.
 type Timer struct {
-	at    float64
-	seq   uint64
-	index int
-	fn    func()
-	l     *Loop
+	t *timers.Timer
+	l *Loop
 }
 
 // At has f run on the loop at the given time in Unix seconds, or soon after.
-func (l *Loop) At(at float64, f func()) *Timer {
-	l.seq++
-	t := &Timer{at: at, seq: l.seq, fn: f, l: l}
-	heap.Push(&l.timers, t)
-	return t
-}
+func (l *Loop) At(at float64, f func()) *Timer { return &Timer{l.timers.Add(at, f), l} }
 
 // After has f run once the given number of seconds has passed.
 func (l *Loop) After(seconds float64, f func()) *Timer { return l.At(l.now+seconds, f) }
 
 // Stop takes the timer back. It may be called on a nil or spent timer.
 func (t *Timer) Stop() {
-	if t != nil && t.index >= 0 {
-		heap.Remove(&t.l.timers, t.index)
+	if t != nil {
+		t.l.timers.Stop(t.t)
 	}
 }
 
 // Due is when the timer runs, in Unix seconds.
-func (t *Timer) Due() float64 { return t.at }
-
-type timerHeap []*Timer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].seq < h[j].seq
-}
-func (h timerHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *timerHeap) Push(x any) {
-	t := x.(*Timer)
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-func (h *timerHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	t.index = -1
-	return t
-}
+func (t *Timer) Due() float64 { return t.t.At }
 
 // Listener accepts connections.
 type Listener struct {
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -7,11 +7,11 @@
 package machine
 
 import (
-	"container/heap"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
+
+	"heathshed/internal/timers"
 )
 
 // Config is a machine. Times are in seconds, memory in GiB.
@@ -143,7 +143,7 @@
 	draining bool
 	fell     bool
 	seq      int
-	timers   timers
+	timers   timers.Queue
 	effects  []Effect
 
 	// Refuse, when set, refuses offers of its choice; Stall holds decisions back until then. For fault injection.
@@ -175,19 +175,17 @@
 }
 
 // NextWake is when Tick wants to be called.
-func (m *Machine) NextWake() float64 {
-	if len(m.timers) == 0 {
-		return math.Inf(1)
-	}
-	return m.timers[0].at
-}
+func (m *Machine) NextWake() float64 { return m.timers.Next() }
 
 // Tick lets due timers run.
 func (m *Machine) Tick(now float64) {
-	for len(m.timers) > 0 && m.timers[0].at <= now && !m.fell {
-		t := heap.Pop(&m.timers).(*timer)
-		m.now = max(m.now, t.at)
-		t.fn()
+	for !m.fell {
+		t := m.timers.Pop(now)
+		if t == nil {
+			break
+		}
+		m.now = max(m.now, t.At)
+		t.Run()
 	}
 	m.now = max(m.now, now)
 }
@@ -592,32 +590,4 @@
 	m.used.memory += t.UseMemory
 }
 
-type timer struct {
-	at  float64
-	seq int
-	fn  func()
-}
-
-type timers []*timer
-
-func (h timers) Len() int { return len(h) }
-func (h timers) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].seq < h[j].seq
-}
-func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timers) Push(x any)   { *h = append(*h, x.(*timer)) }
-func (h *timers) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return t
-}
-
-func (m *Machine) at(at float64, fn func()) {
-	m.seq++
-	heap.Push(&m.timers, &timer{at, m.seq, fn})
-}
+func (m *Machine) at(at float64, fn func()) { m.timers.Add(at, fn) }
