The model and the stand-in share the state of faults and the Pod that a machine shows

Both kept the same seven fields with the same code, and built the shown Pod from the same two tables, so that a new fault had to be written twice and could differ. The state of faults stands beside their names now, and the stand-in shows what the model shows.

--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -142,8 +142,8 @@
 	watch   []*follower
 	waiting map[string]func(*machine.Effect)
 
-	refuse, lose, reset, trickle, errs, cut, clock float64
-	errClass                                       string
+	faults fault.State
+	cut    float64
 }
 
 // New makes a world at its start: machines are up and known, schedulers begin.
@@ -525,19 +525,19 @@
 			done(w.link(), ans)
 		}
 		switch {
-		case w.now < n.reset || w.rng.Float64() < w.cfg.LoseOffer:
+		case w.now < n.faults.Reset || w.rng.Float64() < w.cfg.LoseOffer:
 			hungUp(placer.Lost)
 			return
-		case w.now < n.errs && (n.errClass == "" || n.errClass == class):
+		case n.faults.Errs(w.now, class):
 			hungUp(placer.Errored)
 			return
 		}
 		n.waiting[k] = func(e *machine.Effect) {
 			d := w.link()
-			if w.now < n.trickle {
+			if w.now < n.faults.Trickle {
 				d++
 			}
-			if e == nil || e.Task != nil && (w.now < n.lose || w.rng.Float64() < w.cfg.LoseAnswer) {
+			if e == nil || e.Task != nil && (w.now < n.faults.LoseAnswer || w.rng.Float64() < w.cfg.LoseAnswer) {
 				hungUp(placer.Lost)
 				return
 			}
@@ -659,7 +659,7 @@
 	n.wake = math.Inf(1)
 	n.pods, n.waiting = map[string]*corev1.Pod{}, map[string]func(*machine.Effect){}
 	n.m.Refuse = func(*machine.Offer) machine.Reason {
-		if w.now < n.refuse {
+		if w.now < n.faults.Refuse {
 			return machine.NoCores
 		}
 		return machine.None
@@ -872,7 +872,7 @@
 	c, m := n.m.Free()
 	o.Annotations = map[string]string{meta.Free: meta.FormatDict("cores", c, "memory", m)}
 	if n.started > 0 {
-		o.Annotations[meta.Started] = meta.Instant(n.started + n.clock)
+		o.Annotations[meta.Started] = meta.Instant(n.started + n.faults.Clock)
 	}
 	o.Spec.Unschedulable = n.m.Draining()
 	o.Status.Conditions = []corev1.NodeCondition{{Type: corev1.NodeReady, Status: corev1.ConditionTrue}}
@@ -884,21 +884,7 @@
 
 func (n *node) fault(f fault.Machine) {
 	now := n.w.now
-	set := func(p *float64, d float64) {
-		if d != 0 {
-			*p = now + d
-		}
-	}
-	set(&n.refuse, f.Refuse)
-	set(&n.lose, f.LoseAnswer)
-	set(&n.reset, f.Reset)
-	set(&n.trickle, f.Trickle)
-	if f.Clock != 0 {
-		n.clock = f.Clock
-	}
-	if f.Error != 0 {
-		n.errs, n.errClass = now+f.Error, f.Class
-	}
+	n.faults.Order(now, f)
 	if f.Stall != 0 && n.m != nil {
 		n.m.StallUntil(now + f.Stall)
 	}
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -23,3 +23,36 @@
 	Empty float64  `json:"empty,omitempty"` // shows no machines
 	Hide  []string `json:"hide,omitempty"`  // machines taken out until the next order
 }
+
+// State is what a machine does wrong now: until when, in Unix seconds, and how far its clock is ahead. Stall, Crash, Cut and Drain act on
+// the machine itself and are not kept here.
+type State struct {
+	Refuse, LoseAnswer, Reset, Trickle float64
+	errs                               float64
+	class                              string
+	Clock                              float64
+}
+
+// Order takes an order at the given time.
+func (s *State) Order(now float64, f Machine) {
+	set := func(p *float64, d float64) {
+		if d != 0 {
+			*p = now + d
+		}
+	}
+	set(&s.Refuse, f.Refuse)
+	set(&s.LoseAnswer, f.LoseAnswer)
+	set(&s.Reset, f.Reset)
+	set(&s.Trickle, f.Trickle)
+	if f.Clock != 0 {
+		s.Clock = f.Clock
+	}
+	if f.Error != 0 {
+		s.errs, s.class = now+f.Error, f.Class
+	}
+}
+
+// Errs says whether offers of a class are answered with an error.
+func (s *State) Errs(now float64, class string) bool {
+	return now < s.errs && (s.class == "" || s.class == class)
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -26,6 +26,7 @@
 	"heathshed/internal/loop"
 	"heathshed/internal/machine"
 	"heathshed/internal/meta"
+	"heathshed/internal/model"
 	"heathshed/internal/standin/fault"
 	"heathshed/internal/store"
 )
@@ -63,10 +64,9 @@
 	seed    uint64
 	stopped bool
 
-	refuse, lose, reset, trickle, errs, cutUntil float64
-	errClass                                     string
-	dripping                                     bool
-	clock                                        float64 // how far its clock is ahead
+	faults   fault.State
+	cutUntil float64
+	dripping bool
 }
 
 // StartNode puts a machine on a socket and reports it to the inventory.
@@ -111,7 +111,7 @@
 	n.st = store.New(int64(now*1e6), 5000)
 	n.api = &api.Server{Store: n.st, Version: "standin"}
 	n.m.Refuse = func(o *machine.Offer) machine.Reason {
-		if n.l.Now() < n.refuse {
+		if n.l.Now() < n.faults.Refuse {
 			return machine.NoCores
 		}
 		return machine.None
@@ -172,7 +172,7 @@
 	c, m := n.m.Free()
 	o.Annotations = map[string]string{meta.Free: meta.FormatDict("cores", c, "memory", m)}
 	if n.started > 0 {
-		o.Annotations[meta.Started] = meta.Instant(n.started + n.clock)
+		o.Annotations[meta.Started] = meta.Instant(n.started + n.faults.Clock)
 	}
 	o.Spec.Unschedulable = n.m.Draining()
 	cfg := n.m.Config()
@@ -226,9 +226,6 @@
 
 func key(uid string, attempt int) string { return uid + "/" + strconv.Itoa(attempt) }
 
-var phases = map[machine.Phase]corev1.PodPhase{machine.Accepted: corev1.PodPending, machine.Running: corev1.PodRunning,
-	machine.Succeeded: corev1.PodSucceeded, machine.Ended: corev1.PodFailed}
-
 var reasons = map[machine.Reason]string{machine.NoCores: meta.OutOfCPU, machine.NoMemory: meta.OutOfMemory, machine.TooMany: meta.TooMany,
 	machine.NotHere: meta.NotHere, machine.Evicted: meta.Evicted, machine.PushedOut: meta.Preempted, machine.SentAway: meta.SentAway,
 	machine.Stopped: meta.Stopped, machine.NeverRan: meta.NeverRan}
@@ -267,20 +264,11 @@
 }
 
 // show is the Pod of a task as it stands.
-func (n *Node) show(t *machine.Task) *corev1.Pod {
-	p := t.Payload.(*corev1.Pod).DeepCopy()
-	p.Spec.NodeName = n.o.Name
-	p.Annotations[meta.AttemptAnnotation] = strconv.Itoa(t.Attempt)
-	if t.Phase == machine.Running {
-		p.Annotations[meta.Use] = meta.FormatDict("cores", t.UseCores, "memory", t.UseMemory)
-	}
-	p.Status = corev1.PodStatus{Phase: phases[t.Phase], Reason: reasons[t.Reason]}
-	return p
-}
+func (n *Node) show(t *machine.Task) *corev1.Pod { return model.Show(t, n.o.Name) }
 
 func (n *Node) answer(ex *httpd.Exchange, x *machine.Effect) {
 	now := n.l.Now()
-	if x.Task != nil && now < n.lose {
+	if x.Task != nil && now < n.faults.LoseAnswer {
 		ex.Reset()
 		return
 	}
@@ -303,7 +291,7 @@
 func (n *Node) respond(ex *httpd.Exchange, resp http1.Response) {
 	resp.Header = append(resp.Header, http1.Field{Name: "Content-Type", Value: "application/json"},
 		http1.Field{Name: meta.LoadHeader, Value: n.load}, http1.Field{Name: meta.BootHeader, Value: n.boot})
-	if n.l.Now() < n.trickle {
+	if n.l.Now() < n.faults.Trickle {
 		n.l.After(0.05, func() {
 			ex.Respond(http1.Response{Status: resp.Status, Header: resp.Header, Stream: &slow{l: n.l, rest: resp.Body}})
 		})
@@ -347,7 +335,7 @@
 			return
 		}
 		n.http.Kick()
-		if n.dripping = n.l.Now() < n.trickle+5; n.dripping {
+		if n.dripping = n.l.Now() < n.faults.Trickle+5; n.dripping {
 			n.l.After(dripEvery, again)
 		}
 	}
@@ -425,12 +413,12 @@
 	n.tap(audit.Event{What: audit.Offered, UID: string(p.UID), Attempt: attempt, Scheduler: p.Labels[meta.Scheduler], Class: class,
 		Service: p.Namespace + "/" + service(p)})
 	hungUp := audit.Event{What: audit.HungUp, UID: string(p.UID), Attempt: attempt}
-	if now < n.reset {
+	if now < n.faults.Reset {
 		n.tap(hungUp)
 		x.Reset()
 		return
 	}
-	if now < n.errs && (n.errClass == "" || n.errClass == class) {
+	if n.faults.Errs(now, class) {
 		n.tap(hungUp)
 		n.respond(x, status(500, "InternalError", "the machine fails"))
 		return
@@ -490,21 +478,7 @@
 // Fault makes the machine faulty, or well again.
 func (n *Node) Fault(f fault.Machine) {
 	now := n.l.Now()
-	set := func(p *float64, d float64) {
-		if d != 0 {
-			*p = now + d
-		}
-	}
-	set(&n.refuse, f.Refuse)
-	set(&n.lose, f.LoseAnswer)
-	set(&n.reset, f.Reset)
-	set(&n.trickle, f.Trickle)
-	if f.Clock != 0 {
-		n.clock = f.Clock
-	}
-	if f.Error != 0 {
-		n.errs, n.errClass = now+f.Error, f.Class
-	}
+	n.faults.Order(now, f)
 	if n.m != nil && f.Stall != 0 {
 		n.m.StallUntil(now + f.Stall)
 	}
