Every body, patch and selector is bounded before it is decoded

Package bound scans a text for depth, values, length of numbers and exponents before any decoder sees it; patches have a limit on what copies add and on what they make; selectors on their terms; bodies with a content-encoding are refused; warnings are cut; labels and annotations are checked; path segments must be names; a taken generated name is drawn again, as the Kubernetes API server does.

Fuzz targets FuzzBody and FuzzSelector hold the same property.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -18,10 +18,12 @@
 	batchv1 "k8s.io/api/batch/v1"
 	corev1 "k8s.io/api/core/v1"
 	apierrors "k8s.io/apimachinery/pkg/api/errors"
+	pathvalidation "k8s.io/apimachinery/pkg/api/validation/path"
 	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
 	"k8s.io/apimachinery/pkg/fields"
 	"k8s.io/apimachinery/pkg/labels"
 	"k8s.io/apimachinery/pkg/runtime/schema"
+	utilvalidation "k8s.io/apimachinery/pkg/util/validation"
 	"k8s.io/apimachinery/pkg/util/validation/field"
 	"k8s.io/apimachinery/pkg/version"
 
@@ -100,6 +102,9 @@
 	warnings  []string
 }
 
+// maxSelector bounds the terms of a selector.
+const maxSelector = 100
+
 const jsonType = "application/json"
 
 // Serve answers one request at the given time.
@@ -145,6 +150,11 @@
 	if r.kind == nil {
 		return s.discover(r)
 	}
+	if e := r.Head.Header.Get("Content-Encoding"); e != "" && !strings.EqualFold(e, "identity") {
+		return http1.Response{}, &apierrors.StatusError{ErrStatus: metav1.Status{Status: metav1.StatusFailure,
+			Code: http.StatusUnsupportedMediaType, Reason: metav1.StatusReasonUnsupportedMediaType,
+			Message: fmt.Sprintf("content-encoding %.40q: bodies are taken as they are only", e)}}
+	}
 	if !accepts(r.Head.Header.Get("Accept")) {
 		return http1.Response{}, &apierrors.StatusError{ErrStatus: metav1.Status{Status: metav1.StatusFailure,
 			Code: http.StatusNotAcceptable, Reason: metav1.StatusReasonNotAcceptable,
@@ -227,6 +237,9 @@
 	}
 	core := r.path[0] == "api"
 	if len(p) >= 3 && p[0] == "namespaces" && (!core || p[2] != "status") {
+		if len(utilvalidation.IsDNS1123Label(p[1])) > 0 {
+			return badSegment("namespace", p[1])
+		}
 		r.namespace = p[1]
 		p = p[2:]
 	}
@@ -239,6 +252,9 @@
 		return notFoundPath()
 	}
 	if len(p) > 1 {
+		if len(pathvalidation.IsValidPathSegmentName(p[1])) > 0 || len(utilvalidation.IsDNS1123Subdomain(p[1])) > 0 {
+			return badSegment("name", p[1])
+		}
 		r.name = p[1]
 		if r.kind.namespaced && r.namespace == "" {
 			return notFoundPath()
@@ -253,6 +269,12 @@
 	return nil
 }
 
+// badSegment refuses a path segment that cannot be the name it stands for: an escaped slash must not become part of one.
+func badSegment(what, got string) error {
+	return apierrors.NewBadRequest(fmt.Sprintf("path: %s %.80q is not valid: want lower case letters, digits, '-' and '.', beginning and ending "+
+		"with a letter or digit", what, got))
+}
+
 func notFoundPath() error {
 	return &apierrors.StatusError{ErrStatus: metav1.Status{Status: metav1.StatusFailure, Code: 404,
 		Reason: metav1.StatusReasonNotFound, Message: "the server could not find the requested resource"}}
@@ -400,6 +422,12 @@
 
 func (r *request) selector() (selector, error) {
 	s := selector{namespace: r.namespace, kind: r.kind}
+	for _, name := range []string{"labelSelector", "fieldSelector"} {
+		// Each comma parts a requirement or a value of one, and each object of a list is held against them all.
+		if n := strings.Count(r.query.Get(name), ","); n >= maxSelector {
+			return s, apierrors.NewRequestEntityTooLargeError(fmt.Sprintf("%s: %d terms: at most %d", name, n+1, maxSelector))
+		}
+	}
 	var err error
 	if s.labels, err = labels.Parse(r.query.Get("labelSelector")); err != nil {
 		return s, apierrors.NewBadRequest("unable to parse requirement: " + err.Error())
--- /dev/null
+++ b/internal/api/bounds_test.go
@@ -0,0 +1,198 @@
+package api
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	corev1 "k8s.io/api/core/v1"
+	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
+	"k8s.io/apimachinery/pkg/types"
+
+	batchv1 "k8s.io/api/batch/v1"
+
+	"heathshed/internal/engine"
+	"heathshed/internal/http1"
+	"heathshed/internal/meta"
+	"heathshed/internal/settings"
+)
+
+// serving is an API over an engine that knows one machine.
+func serving(t testing.TB) *Server {
+	s := settings.Default()
+	e, err := engine.New(s.Engine(1, 1000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &corev1.Node{}
+	n.Name, n.Labels = "node-1", map[string]string{meta.Kind: "standard", meta.Rack: "r", meta.Zone: "z"}
+	e.NodesListed(1000, engine.FullList, []*corev1.Node{n}, nil)
+	return &Server{Store: e.Store(), Engine: e}
+}
+
+func (s *Server) send(method, target, contentType, body string) http1.Response {
+	return s.Serve(1000, &http1.Request{Body: []byte(body), Head: &http1.Head{Method: method, Target: target, Minor: 1,
+		Header: http1.Header{{Name: "Content-Type", Value: contentType}}}})
+}
+
+const (
+	jobsPath = "/apis/batch/v1/namespaces/default/jobs"
+	nodePath = "/api/v1/nodes/node-1"
+	jsonP    = string(types.JSONPatchType)
+	mergeP   = string(types.MergePatchType)
+	strategP = string(types.StrategicMergePatchType)
+)
+
+func jobWith(cpu string) string {
+	return `{"metadata":{"name":"j"},"spec":{"template":{"spec":{"restartPolicy":"Never","containers":[{"name":"a","image":"b","resources":` +
+		`{"requests":{"cpu":` + cpu + `}}}]}}}}`
+}
+
+func copies(n int) string {
+	ops := []string{`{"op":"add","path":"/metadata/annotations","value":{"a":"b"}}`}
+	for i := range n {
+		ops = append(ops, fmt.Sprintf(`{"op":"copy","from":"/metadata","path":"/metadata/annotations/x%d"}`, i))
+	}
+	return "[" + strings.Join(ops, ",") + "]"
+}
+
+// allocated is what f makes the process allocate, in bytes.
+func allocated(f func()) uint64 {
+	var a, b runtime.MemStats
+	runtime.ReadMemStats(&a)
+	f()
+	runtime.ReadMemStats(&b)
+	return b.TotalAlloc - a.TotalAlloc
+}
+
+// mostAllocated is the property of every body: so much for each byte of it, and never more than so much in all.
+func mostAllocated(body int) uint64 { return min(4<<20+2048*uint64(body), 96<<20) }
+
+// Bodies that are small to send and dear to read are refused before they are read, with a status that says why.
+func TestBombs(t *testing.T) {
+	deep := func(n int) string { return strings.Repeat(`{"a":`, n) + "1" + strings.Repeat("}", n) }
+	wire := func(quantity string) string {
+		// A quantity inside of a message inside of a message, as the binary encoding has it.
+		in := func(b string) string { return "\x0a" + string(rune(len(b))) + b }
+		return "k8s\x00" + in("\x0a\x02v1\x12\x03Job") + "\x12" + string(rune(len(in(in(quantity))))) + in(in(quantity))
+	}
+	for _, c := range []struct {
+		name, method, path, kind, body string
+		status                         int
+	}{
+		{"copy of metadata into itself", "PATCH", nodePath, jsonP, copies(40), 413},
+		{"many operations", "PATCH", nodePath, jsonP, "[" + strings.Repeat(`{"op":"test","path":"/kind","value":"Node"},`, 1500) + `{"op":"test","path":"/kind","value":"Node"}]`, 413},
+		{"deep merge patch", "PATCH", nodePath, mergeP, deep(9000), 400},
+		{"deep strategic patch", "PATCH", nodePath, strategP, deep(9000), 400},
+		{"deep body", "POST", jobsPath, jsonType, deep(9000), 400},
+		{"deep arrays", "POST", jobsPath, jsonType, strings.Repeat("[", 100000), 400},
+		{"huge exponent", "POST", jobsPath, jsonType, jobWith(`"1e1000000000"`), 400},
+		{"huge exponent as a number", "POST", jobsPath, jsonType, jobWith(`1e1000000000`), 400},
+		{"tiny exponent", "POST", jobsPath, jsonType, jobWith(`"1e-2147483647"`), 400},
+		{"escaped exponent", "POST", jobsPath, jsonType, jobWith(`"1\u00651000000000"`), 400},
+		{"escaped first digit", "POST", jobsPath, jsonType, jobWith(`"\u0031e1000000000"`), 400},
+		{"many digits", "POST", jobsPath, jsonType, jobWith(`"` + strings.Repeat("9", 1<<20) + `"`), 400},
+		{"exponent by patch", "PATCH", nodePath, mergeP, `{"status":{"capacity":{"cpu":"1e1000000000"}}}`, 400},
+		{"exponent in the binary encoding", "POST", jobsPath, "application/vnd.kubernetes.protobuf", wire("1e1000000000"), 400},
+		{"900,000 empty containers", "POST", jobsPath, jsonType, `{"spec":{"template":{"spec":{"containers":[` + strings.Repeat("{},", 900000) + "{}]}}}}", 413},
+		{"many labels", "PATCH", nodePath, mergeP, `{"metadata":{"labels":{"a":"` + strings.Repeat("x", 1<<20) + `"}}}`, 413},
+		{"selector of 2,000 terms", "GET", "/api/v1/pods?labelSelector=" + strings.Repeat("a,", 2000) + "a", "", "", 413},
+		{"field selector of 2,000 terms", "GET", "/api/v1/pods?fieldSelector=" + strings.Repeat("metadata.name%21%3Da,", 2000), "", "", 413},
+		{"escaped slash", "GET", "/api/v1/namespaces/default%2Fx/pods", "", "", 400},
+		{"escaped dots", "GET", "/api/v1/namespaces/%2e%2e/pods", "", "", 400},
+		{"name of another form", "GET", "/api/v1/nodes/a%00b", "", "", 400},
+		{"plain number in an annotation", "PATCH", nodePath, mergeP, `{"metadata":{"annotations":{"a":"1e1000000000"}}}`, 200},
+		{"ordinary copy", "PATCH", nodePath, jsonP, copies(2), 400}, // a copy of an object is no annotation
+	} {
+		s := serving(t)
+		var resp http1.Response
+		if n, most := allocated(func() { resp = s.send(c.method, c.path, c.kind, c.body) }), mostAllocated(len(c.body)); n > most {
+			t.Errorf("%s: %d bytes of body made %d bytes, want at most %d", c.name, len(c.body), n, most)
+		}
+		if resp.Status != c.status {
+			t.Errorf("%s: status %d, want %d: %.200s", c.name, resp.Status, c.status, resp.Body)
+		}
+		if len(resp.Body) > 64<<10 {
+			t.Errorf("%s: an answer of %d bytes", c.name, len(resp.Body))
+		}
+	}
+	s := serving(t)
+	resp := s.Serve(1000, &http1.Request{Head: &http1.Head{Method: "POST", Target: jobsPath, Minor: 1,
+		Header: http1.Header{{Name: "Content-Type", Value: jsonType}, {Name: "Content-Encoding", Value: "gzip"}}}})
+	if resp.Status != 415 {
+		t.Errorf("compressed body: %d", resp.Status)
+	}
+}
+
+// FuzzBody has any body decoded, by any way in, within its bound of memory for each byte.
+func FuzzBody(f *testing.F) {
+	for _, s := range []string{jobWith(`"1"`), jobWith(`"1e1000000000"`), copies(40), `{"metadata":{"labels":{"a":"b"}}}`,
+		`{"spec":{"unschedulable":true}}`, "k8s\x00\x0a\x09\x0a\x02v1\x12\x03Job\x12\x02\x0a\x00", `{"kind":"DeleteOptions","dryRun":["All"]}`} {
+		for way := range byte(7) {
+			f.Add(way, s)
+		}
+	}
+	s := serving(f)
+	f.Fuzz(func(t *testing.T, way byte, body string) {
+		if len(body) > 1<<16 {
+			return
+		}
+		ways := []struct{ method, path, kind string }{{"POST", jobsPath + "?dryRun=All", jsonType}, {"PATCH", nodePath + "?dryRun=All", jsonP},
+			{"PATCH", nodePath + "?dryRun=All", mergeP}, {"PATCH", nodePath + "?dryRun=All", strategP}, {"PUT", nodePath + "?dryRun=All", jsonType},
+			{"POST", jobsPath + "?dryRun=All", "application/vnd.kubernetes.protobuf"}, {"DELETE", "/api/v1/namespaces/default/pods?dryRun=All", jsonType}}
+		w := ways[int(way)%len(ways)]
+		var resp http1.Response
+		if n, most := allocated(func() { resp = s.send(w.method, w.path, w.kind, body) }), mostAllocated(len(body)); n > most {
+			t.Fatalf("%d bytes of body made %d bytes, want at most %d", len(body), n, most)
+		}
+		if resp.Status == 500 {
+			t.Fatalf("status 500: %s", resp.Body)
+		}
+	})
+}
+
+// FuzzSelector has any selector parsed and held against objects within its bound.
+func FuzzSelector(f *testing.F) {
+	for _, s := range []string{"a=b", "a in (b,c),!d", "a notin (b)", "a>1", strings.Repeat("a,", 200), "(((", "a in (", "\x00"} {
+		f.Add(s, s)
+	}
+	f.Fuzz(func(t *testing.T, l, fs string) {
+		if len(l)+len(fs) > 1<<13 {
+			return
+		}
+		s := filled(5)
+		r := &request{Request: &http1.Request{Head: &http1.Head{}}, kind: kinds[0], query: map[string][]string{"labelSelector": {l}, "fieldSelector": {fs}}}
+		r.kind = kinds[1]
+		n := allocated(func() {
+			if sel, err := r.selector(); err == nil {
+				for _, o := range []string{"pa", "pb", "pc"} {
+					sel.matches(s.Store.Get(r.kind.res, "default", o))
+				}
+			}
+		})
+		if most := mostAllocated(len(l) + len(fs)); n > most {
+			t.Fatalf("%d bytes made %d bytes", len(l)+len(fs), n)
+		}
+	})
+}
+
+// A generated name that is taken is drawn again, as long as there are others.
+func TestGeneratedNames(t *testing.T) {
+	s := serving(t)
+	j := &batchv1.Job{ObjectMeta: metav1.ObjectMeta{GenerateName: "g-", Namespace: "default"}}
+	zero := int32(0)
+	j.Spec.Completions, j.Spec.Parallelism = &zero, &zero
+	j.Spec.Template.Spec.RestartPolicy = corev1.RestartPolicyNever
+	seen := map[string]bool{}
+	for i := range 20000 {
+		o, err := s.Engine.CreateJob(1000, j, false)
+		if err != nil {
+			t.Fatalf("%d: %v", i, err)
+		}
+		seen[o.Name] = true
+	}
+	if len(seen) != 20000 {
+		t.Errorf("%d names of 20000 Jobs", len(seen))
+	}
+}
--- a/internal/api/write.go
+++ b/internal/api/write.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"mime"
 	"net/http"
@@ -13,6 +14,7 @@
 	corev1 "k8s.io/api/core/v1"
 	policyv1 "k8s.io/api/policy/v1"
 	apierrors "k8s.io/apimachinery/pkg/api/errors"
+	apivalidation "k8s.io/apimachinery/pkg/api/validation"
 	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
 	"k8s.io/apimachinery/pkg/apis/meta/v1/validation"
 	"k8s.io/apimachinery/pkg/runtime"
@@ -23,6 +25,7 @@
 	"k8s.io/apimachinery/pkg/util/validation/field"
 	kjson "sigs.k8s.io/json"
 
+	"heathshed/internal/bound"
 	"heathshed/internal/http1"
 	"heathshed/internal/store"
 )
@@ -46,6 +49,9 @@
 	case jsonType, "text/json":
 		return r.decodeJSON(body, into, wantKind)
 	case "application/vnd.kubernetes.protobuf":
+		if err := bound.Proto(bytes.TrimPrefix(body, protoMagic), bound.Object()); err != nil {
+			return overBound("body", err)
+		}
 		m, ok := into.(protoMessage)
 		if !ok || !bytes.HasPrefix(body, protoMagic) {
 			return apierrors.NewBadRequest("body is not in the encoding that content-type names")
@@ -67,6 +73,22 @@
 			"accepted media types include: application/json, application/vnd.kubernetes.protobuf; not %s", t)}}
 }
 
+const (
+	maxWarnings = 20
+	maxPatchOps = 1000
+	// maxObject bounds an object that a patch makes, in bytes of JSON.
+	maxObject = 1 << 20
+)
+
+// overBound is the answer to a text that would cost too much to decode.
+func overBound(what string, err error) error {
+	var e *bound.Error
+	if errors.As(err, &e) && e.TooLarge() {
+		return apierrors.NewRequestEntityTooLargeError(what + ": " + err.Error())
+	}
+	return apierrors.NewBadRequest(what + ": " + err.Error())
+}
+
 func checkKind(got, want string) error {
 	if got != "" && got != want {
 		return apierrors.NewBadRequest(fmt.Sprintf("the object in the body is a %s, want a %s", got, want))
@@ -76,6 +98,9 @@
 
 // decodeJSON reads strictly: fields that are unknown or given twice are refused or warned of, as fieldValidation says.
 func (r *request) decodeJSON(body []byte, into any, wantKind string) error {
+	if err := bound.JSON(body, bound.Object()); err != nil {
+		return overBound("body", err)
+	}
 	strict, err := kjson.UnmarshalStrict(body, into)
 	if err != nil {
 		return apierrors.NewBadRequest("body: " + err.Error())
@@ -90,8 +115,12 @@
 		return nil
 	}
 	var words []string
-	for _, e := range strict {
-		words = append(words, e.Error())
+	for i, e := range strict {
+		if i == maxWarnings {
+			words = append(words, fmt.Sprintf("and %d more", len(strict)-i))
+			break
+		}
+		words = append(words, fmt.Sprintf("%.200s", e.Error()))
 	}
 	switch v := r.query.Get("fieldValidation"); v {
 	case "Strict":
@@ -214,6 +243,12 @@
 	}
 }
 
+// validateTexts checks labels and annotations, the latter together at most 256 KiB as the Kubernetes API has it.
+func validateTexts(o metav1.Object, at *field.Path) field.ErrorList {
+	errs := validation.ValidateLabels(o.GetLabels(), at.Child("labels"))
+	return append(errs, apivalidation.ValidateAnnotations(o.GetAnnotations(), at.Child("annotations"))...)
+}
+
 func validateJob(j *batchv1.Job) field.ErrorList {
 	var errs field.ErrorList
 	meta := field.NewPath("metadata")
@@ -229,7 +264,7 @@
 			errs = append(errs, field.Invalid(meta.Child("generateName"), j.GenerateName, m))
 		}
 	}
-	errs = append(errs, validation.ValidateLabels(j.Labels, meta.Child("labels"))...)
+	errs = append(errs, validateTexts(j, meta)...)
 	spec := field.NewPath("spec")
 	nonNegative := func(p *field.Path, v *int32) {
 		if v != nil && *v < 0 {
@@ -251,7 +286,7 @@
 		errs = append(errs, field.Forbidden(spec.Child("selector"), "selectors are generated"))
 	}
 	tpl := spec.Child("template")
-	errs = append(errs, validation.ValidateLabels(j.Spec.Template.Labels, tpl.Child("metadata", "labels"))...)
+	errs = append(errs, validateTexts(&j.Spec.Template, tpl.Child("metadata"))...)
 	p := tpl.Child("spec")
 	t := &j.Spec.Template.Spec
 	switch t.RestartPolicy {
@@ -331,6 +366,9 @@
 	if next.GetName() != r.name || next.GetNamespace() != r.namespace {
 		return http1.Response{}, apierrors.NewBadRequest("the name or namespace of the object does not match the request")
 	}
+	if errs := validateTexts(next, field.NewPath("metadata")); len(errs) > 0 {
+		return http1.Response{}, apierrors.NewInvalid(schema.GroupKind{Group: r.kind.gv.Group, Kind: r.kind.kind}, r.name, errs)
+	}
 	dry, err := r.dryRun(nil)
 	if err != nil {
 		return http1.Response{}, err
@@ -382,6 +420,9 @@
 		return nil, fmt.Errorf("encode present object: %w", err)
 	}
 	t, _, _ := mime.ParseMediaType(r.Head.Header.Get("Content-Type"))
+	if err := bound.JSON(r.Body, bound.Object()); err != nil {
+		return nil, overBound("patch", err)
+	}
 	var out []byte
 	switch types.PatchType(t) {
 	case types.MergePatchType:
@@ -391,12 +432,17 @@
 	case types.JSONPatchType:
 		var p jsonpatch.Patch
 		if p, err = jsonpatch.DecodePatch(r.Body); err == nil {
-			if len(p) > 1000 {
-				return nil, apierrors.NewRequestEntityTooLargeError("a JSON patch may have 1000 operations")
+			if len(p) > maxPatchOps {
+				return nil, apierrors.NewRequestEntityTooLargeError(fmt.Sprintf("a JSON patch may have %d operations", maxPatchOps))
 			}
-			if out, err = p.Apply(was); err != nil {
+			o := jsonpatch.NewApplyOptions()
+			o.AccumulatedCopySizeLimit = maxObject
+			var large *jsonpatch.AccumulatedCopySizeError
+			if out, err = p.ApplyWithOptions(was, o); errors.As(err, &large) {
+				return nil, apierrors.NewRequestEntityTooLargeError("patch: " + err.Error())
+			} else if err != nil {
 				return nil, apierrors.NewInvalid(schema.GroupKind{Group: r.kind.gv.Group, Kind: r.kind.kind}, r.name,
-					field.ErrorList{field.Invalid(field.NewPath("patch"), string(r.Body), err.Error())})
+					field.ErrorList{field.Invalid(field.NewPath("patch"), fmt.Sprintf("%.1000s", r.Body), err.Error())})
 			}
 		}
 	default:
@@ -407,6 +453,9 @@
 	if err != nil {
 		return nil, apierrors.NewBadRequest("patch: " + err.Error())
 	}
+	if len(out) > maxObject {
+		return nil, apierrors.NewRequestEntityTooLargeError(fmt.Sprintf("the patched object has %d bytes: at most %d", len(out), maxObject))
+	}
 	return out, nil
 }
 
--- a/internal/engine/jobs.go
+++ b/internal/engine/jobs.go
@@ -122,7 +122,13 @@
 	defer e.end()
 	o = o.DeepCopy()
 	if o.Name == "" && o.GenerateName != "" {
-		o.Name = o.GenerateName + e.suffix()
+		// The Kubernetes API server draws again when a name is taken.
+		for range 8 {
+			o.Name = fmt.Sprintf("%.248s", o.GenerateName) + e.suffix()
+			if e.jobs[jobKey(o)] == nil {
+				break
+			}
+		}
 	}
 	if e.jobs[jobKey(o)] != nil {
 		return nil, ErrExists
