Being shed at the gate no longer draws on the budget for asking again

A burst of 40,000 tasks was placed at 1,000 a second until the line's first deadline passed; then each task that the gate itself shed came back as an ask again, of which the budget lets 2 a second pass: 186,066 asks again for nothing beside idle machines.

The gate now tells three kinds apart: fresh asks, those it shed itself (late whatever comes, so they go after the fresh ones and draw on nothing), and those that machines refused or lost, which draw on the budget. These wait in line for it rather than being shed at once. Advice to come back is at most 15 s: the rate of a bad minute says nothing of the time after it. The limit begins with slow start, and returns to it after four windows without a late answer. The owner's waits grow with asks that machines had, not with those shed.

--- a/internal/engine/tasks.go
+++ b/internal/engine/tasks.go
@@ -36,8 +36,9 @@
 	service         placer.ServiceID
 	cores, memory   float64
 	giveUp          float64
-	budget          int // times it may be asked again
-	asked           int
+	budget          int  // times it may be asked again
+	asked           int  // asks that reached the placer
+	shed            bool // some ask was shed at the gate
 	mayRan          bool
 	everRan         bool // some attempt may have run, whatever was learned later
 	phase           phase
@@ -108,14 +109,13 @@
 	a := &ask{id: e.lastAsk, t: t, again: t.asked > 0, deadline: min(t.giveUp, e.now+k.Deadline)}
 	e.asks[a.id] = a
 	t.ask, t.phase, t.wait = a, asking, nil
-	t.asked++
 	e.Stats.Asks++
-	if a.again {
+	if a.again || t.shed {
 		e.Stats.AskedAgain++
 	}
 	kind := &e.cfg.Placer.Kinds[0]
 	v, shed := e.gate.Arrive(e.now, gate.Item{ID: uint64(a.id), Tenant: t.tenant, Priority: k.Priority, Cost: max(t.cores/kind.Cores, t.memory/kind.Memory),
-		Deadline: a.deadline, Aim: k.Aim, Again: a.again})
+		Deadline: a.deadline, Aim: k.Aim, Again: a.again, Shed: t.shed})
 	switch v {
 	case gate.Pass:
 		e.bring(a)
@@ -130,6 +130,7 @@
 func (e *Engine) bring(a *ask) {
 	t := a.t
 	a.queued = false
+	t.asked++
 	e.feed(placer.Event{Kind: placer.Arrived, Task: placer.Task{ID: a.id, Class: t.class, Tenant: t.tenant, Service: t.service, Cores: t.cores,
 		Memory: t.memory, Again: a.again, Deadline: a.deadline}})
 }
@@ -137,10 +138,10 @@
 // shed ends an ask that the gate refuses. Nothing of it ran.
 func (e *Engine) shed(a *ask, s gate.Shedding) {
 	e.Stats.Shed++
-	a.answered, a.queued = true, false
+	a.answered, a.queued, a.t.shed = true, false, true
 	e.forgetAsk(a)
 	a.t.lastReason = "not asked for: " + s.Why
-	e.decide(a.t, owner.WasRefused, s.Delay)
+	e.decide(a.t, owner.WasShed, s.Delay)
 }
 
 // openGate lets pass what may, and sees to it that it is looked at again in time.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,8 +21,14 @@
 	Decrease, Window, LatePart float64
 	// MaxWaiting bounds the asks that wait, over all tenants.
 	MaxWaiting int
-	// RetryRatio is how many asks may be made again for each first ask, RetryRate how many a second beside, with RetryBurst saved up.
+	// An ask again draws one from a budget of at most RetryBurst. It has it back, with RetryRatio more, when it is placed; a first ask that
+	// is placed brings RetryRatio; time brings RetryRate a second.
 	RetryRatio, RetryRate, RetryBurst float64
+	// ShedDraws is a mistake that was made once and is kept for experiments: an item that was shed here counts as asked again, and one
+	// beyond the budget is shed at once.
+	ShedDraws bool
+	// Additive keeps the limit from growing faster than by one for each time that all under way are answered.
+	Additive bool
 	// Off lets everything pass, and still counts.
 	Off bool
 }
@@ -56,7 +62,10 @@
 	Cost     float64 // what it takes of the fleet, such as cores; at least a small amount is counted
 	Deadline float64 // when its owner stops waiting
 	Aim      float64 // how soon a start is worth most, from its arrival
-	Again    bool    // it was asked before
+	// Again says that the machines had it before and did not keep it. One that was only ever shed here is a first ask.
+	Again bool
+	// Shed says that it was shed here before.
+	Shed bool
 }
 
 // Verdict says what becomes of an item.
@@ -82,6 +91,8 @@
 	limit    float64
 	lowered  float64 // time of the last decrease
 	late     float64 // part of the asks that came back late, smoothed
+	quickly  bool    // the limit grows by one for each good answer
+	sound    float64 // since when no answer was late
 	inFlight map[uint64]*flying
 	young    []*flying // those under way, oldest first; ended ones are skipped
 	fresh    int       // those of young that still count
@@ -103,15 +114,27 @@
 type flying struct {
 	at, aim float64
 	counted bool
+	draws   bool // on the budget
 }
 
 type tenant struct {
 	share  float64
-	passed float64 // virtual time: cost let pass over share
-	lines  []*line // by priority, the highest first
-	n      int
+	passed float64        // virtual time: cost let pass over share
+	lines  [kinds][]*line // by priority, the highest first
+	n      [kinds]int
 }
 
+// The kinds of items, in the order in which a tenant's go: those that may still be in time, those that were shed here and are late
+// whatever comes, and those that draw on the budget.
+const (
+	fresh = iota
+	returned
+	again
+	kinds
+)
+
+func (t *tenant) waits() int { return t.n[fresh] + t.n[returned] + t.n[again] }
+
 type entry struct {
 	Item
 	at   float64
@@ -119,6 +142,16 @@
 	gone bool
 }
 
+func (e *Item) kind() int {
+	switch {
+	case e.Again:
+		return again
+	case e.Shed:
+		return returned
+	}
+	return fresh
+}
+
 // line holds a tenant's items of one priority in order of arrival. Removed ones are skipped when they come to an end of it.
 type line struct {
 	priority int
@@ -127,14 +160,15 @@
 }
 
 func (t *tenant) add(e *entry) {
-	i, found := slices.BinarySearchFunc(t.lines, e.Priority, func(l *line, p int) int { return p - l.priority })
+	lines := &t.lines[e.kind()]
+	i, found := slices.BinarySearchFunc(*lines, e.Priority, func(l *line, p int) int { return p - l.priority })
 	if !found {
-		t.lines = slices.Insert(t.lines, i, &line{priority: e.Priority})
+		*lines = slices.Insert(*lines, i, &line{priority: e.Priority})
 	}
-	l := t.lines[i]
+	l := (*lines)[i]
 	l.items = append(l.items, e)
 	l.n++
-	t.n++
+	t.n[e.kind()]++
 }
 
 // trim takes removed items off both ends.
@@ -181,7 +215,16 @@
 // next returns the item whose turn it is. While the line is short the oldest goes first. Once the oldest has waited for a good part of
 // its aim, the newest does: serving in order would make every one late, and a start within the aim is worth most.
 func (t *tenant) next(now float64) *entry {
-	for _, l := range t.lines {
+	for k := range kinds {
+		if e := next(t.lines[k], now); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+func next(lines []*line, now float64) *entry {
+	for _, l := range lines {
 		l.trim()
 		if l.n == 0 {
 			continue
@@ -202,7 +245,7 @@
 		return nil, err
 	}
 	g := &Gate{cfg: cfg, limit: min(max(cfg.Start, cfg.MinInFlight), cfg.MaxInFlight), inFlight: map[uint64]*flying{},
-		waiting: map[uint64]*entry{}, budget: cfg.RetryBurst}
+		waiting: map[uint64]*entry{}, budget: cfg.RetryBurst, quickly: !cfg.Additive}
 	least := math.Inf(1)
 	for _, s := range cfg.Shares {
 		if s > 0 {
@@ -224,7 +267,10 @@
 	return g, nil
 }
 
-// Limit is the present limit on asks under way; InFlight how many are; Waiting how many stand in line.
+// Budget is how many asks may be made again at once.
+func (g *Gate) Budget() float64 { return g.budget }
+
+// Limit is the present limit on asks under way.
 func (g *Gate) Limit() float64 { return g.limit }
 
 // InFlight is the number of asks under way.
@@ -236,26 +282,28 @@
 // Arrive takes an item. One that waits comes out of Next later; its delay says when to come again if it is shed.
 func (g *Gate) Arrive(now float64, it Item) (Verdict, Shedding) {
 	if g.cfg.Off {
-		g.pass(now, it.ID, it.Aim)
+		g.pass(now, it.ID, it.Aim, it.Again)
 		return Pass, Shedding{}
 	}
 	g.refill(now)
-	if it.Again {
-		if g.budget < 1 {
+	if g.cfg.ShedDraws {
+		it.Again = it.Again || it.Shed
+		if it.Again && g.budget < 1 {
 			g.ShedRetry++
 			return Shed, Shedding{it.ID, g.delay(), "too much is asked again"}
 		}
-		g.budget--
-	} else {
-		g.budget = min(g.budget+g.cfg.RetryRatio, g.cfg.RetryBurst)
+		if !it.Again {
+			g.budget = min(g.budget+g.cfg.RetryRatio, g.cfg.RetryBurst)
+		}
 	}
 	if it.Tenant < 0 || it.Tenant >= len(g.tenants) {
 		it.Tenant = 0
 	}
 	t := g.tenants[it.Tenant]
-	if len(g.waiting) == 0 && g.room(now) {
+	// What waits of a later kind holds up no earlier one.
+	if g.ahead(it.kind()) == 0 && g.room(now) && (!it.Again || g.budget >= 1) {
 		g.charge(t, it.Cost)
-		g.pass(now, it.ID, it.Aim)
+		g.pass(now, it.ID, it.Aim, it.Again)
 		return Pass, Shedding{}
 	}
 	if len(g.waiting) >= g.cfg.MaxWaiting {
@@ -263,7 +311,7 @@
 		return Shed, Shedding{it.ID, g.delay(), "too many asks wait"}
 	}
 	e := &entry{Item: it, at: now, t: t}
-	if t.n == 0 {
+	if t.waits() == 0 {
 		// A tenant that comes back does not make up for the time that it asked nothing.
 		t.passed = max(t.passed, g.virtual)
 	}
@@ -274,6 +322,16 @@
 	return Wait, Shedding{}
 }
 
+// ahead is how many wait that an arrival of a kind may not overtake.
+func (g *Gate) ahead(kind int) (n int) {
+	for _, t := range g.tenants {
+		for k := range kind + 1 {
+			n += t.n[k]
+		}
+	}
+	return n
+}
+
 // room says whether one more may be under way.
 func (g *Gate) room(now float64) bool {
 	for len(g.young) > 0 {
@@ -301,8 +359,11 @@
 	t.passed += max(cost, 0.01) / t.share
 }
 
-func (g *Gate) pass(now float64, id uint64, aim float64) {
-	f := &flying{now, aim, true}
+func (g *Gate) pass(now float64, id uint64, aim float64, draws bool) {
+	f := &flying{now, aim, true, draws}
+	if draws {
+		g.budget--
+	}
 	g.inFlight[id] = f
 	g.young = append(g.young, f)
 	g.fresh++
@@ -324,9 +385,13 @@
 func (g *Gate) delay() float64 {
 	wait := 1 + float64(len(g.waiting))/max(g.passRate, 1)
 	n := float64((g.ShedLate+g.ShedFull+g.ShedRetry)%16) / 16
-	return min(wait*(0.75+0.5*n), 60)
+	return min(wait, longestDelay) * (0.75 + 0.5*n)
 }
 
+// longestDelay bounds the advice: the rate in a bad minute says nothing of the time after it, and who was told to stay away for long would
+// come back long after there is room.
+const longestDelay = 15.0 // seconds
+
 // Done takes the end of an ask: placed says that it was, at a time when it had been under way so long. The limit learns from it.
 func (g *Gate) Done(now float64, id uint64, placed bool) {
 	f, ok := g.inFlight[id]
@@ -336,22 +401,44 @@
 	delete(g.inFlight, id)
 	under := float64(g.fresh)
 	g.settle(f)
+	if placed && !g.cfg.ShedDraws {
+		// What the machines take is no waste: only an ask again that failed stays paid for.
+		back := g.cfg.RetryRatio
+		if f.draws {
+			back++
+		}
+		g.budget = min(g.budget+back, g.cfg.RetryBurst)
+	}
 	late := 0.0
 	if !placed || now-f.at > max(f.aim, 0.001)/2 {
 		late = 1
 	}
 	g.late += (late - g.late) * 0.05
+	if late > 0 {
+		g.sound = now
+	}
 	switch {
 	case g.late > g.cfg.LatePart && late > 0 && now-g.lowered >= g.cfg.Window:
 		// Additive increase, multiplicative decrease: what was under way when it got late is the measure, not a limit that was never
 		// reached.
 		g.limit = max(min(g.limit, under+1)*g.cfg.Decrease, g.cfg.MinInFlight)
-		g.lowered = now
+		g.lowered, g.quickly = now, false
 	case late == 0 && under >= math.Floor(g.limit)/2:
-		g.limit = min(g.limit+1/max(g.limit, 1), g.cfg.MaxInFlight)
+		// Slow start: from the beginning, and again once nothing has been late for a while, the limit doubles with each round of answers.
+		// A limit that fell in a bad minute must not stay down for long after it.
+		if !g.quickly && !g.cfg.Additive && now-g.sound >= soundFor*max(g.cfg.Window, 0.05) {
+			g.quickly = true
+		}
+		step := 1 / max(g.limit, 1)
+		if g.quickly {
+			step = 1
+		}
+		g.limit = min(g.limit+step, g.cfg.MaxInFlight)
 	}
 }
 
+const soundFor = 4.0 // windows without a late answer until the limit grows quickly again
+
 // Drop forgets an item wherever it is, with no lesson.
 func (g *Gate) Drop(id uint64) {
 	if f := g.inFlight[id]; f != nil {
@@ -366,8 +453,8 @@
 func (g *Gate) remove(e *entry) {
 	delete(g.waiting, e.ID)
 	e.gone = true
-	e.t.n--
-	for _, l := range e.t.lines {
+	e.t.n[e.kind()]--
+	for _, l := range e.t.lines[e.kind()] {
 		if l.priority == e.Priority {
 			l.n--
 		}
@@ -376,23 +463,36 @@
 
 // Next says which items pass now and which are refused because they could no longer start before their owner gives up.
 func (g *Gate) Next(now float64) (pass []uint64, shed []Shedding) {
+	g.refill(now)
 	for e := g.expiry.first(); e != nil && e.latest() <= now; e = g.expiry.first() {
+		why := "it waited until it could no longer start in time"
+		if e.Again && g.budget < 1 {
+			why = "too much is asked again"
+			g.ShedRetry++
+		} else {
+			g.ShedLate++
+		}
 		g.remove(e)
-		g.ShedLate++
-		shed = append(shed, Shedding{e.ID, g.delay(), "it waited until it could no longer start in time"})
+		shed = append(shed, Shedding{e.ID, g.delay(), why})
 	}
 	for len(g.waiting) > 0 && g.room(now) {
 		// The tenant that has had least for its share is next; what one does not use the others have.
 		var t *tenant
 		for _, x := range g.tenants {
-			if x.n > 0 && (t == nil || x.passed < t.passed) {
+			if x.n[fresh]+x.n[returned] == 0 && (x.n[again] == 0 || g.budget < 1) {
+				continue
+			}
+			if t == nil || x.passed < t.passed {
 				t = x
 			}
 		}
+		if t == nil {
+			break // asks again that wait for the budget
+		}
 		e := t.next(now)
 		g.remove(e)
 		g.charge(t, e.Cost)
-		g.pass(now, e.ID, e.Aim)
+		g.pass(now, e.ID, e.Aim, e.Again)
 		pass = append(pass, e.ID)
 	}
 	return pass, shed
@@ -407,5 +507,8 @@
 	if e := g.expiry.first(); e != nil {
 		at = min(at, e.latest())
 	}
+	if g.budget < 1 && g.cfg.RetryRate > 0 && len(g.waiting) > 0 {
+		at = min(at, g.budgetAt+(1-g.budget)/g.cfg.RetryRate)
+	}
 	return at
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -28,6 +28,7 @@
 	WasEvicted
 	WasMoved
 	WasLost
+	WasShed // the scheduler itself had no room to ask a machine; it says when to come again
 )
 
 // Standing is what is known of a task when it has no attempt out and does not run.
@@ -36,7 +37,7 @@
 	Cause   Cause
 	Now     float64
 	GiveUp  float64 // when the owner stops waiting for the task to be placed
-	Asked   int     // times asked so far
+	Asked   int     // times that machines were asked so far
 	Budget  int     // times it may be asked again
 	InDoubt bool    // an attempt may have been accepted, and its machine has not said
 	MayRan  bool    // an attempt may have run, and that can no longer be known
@@ -68,7 +69,7 @@
 		}
 	}
 	end := Refuse
-	if s.Cause != WasRefused || s.InDoubt || s.MayRan {
+	if s.Cause != WasRefused && s.Cause != WasShed || s.InDoubt || s.MayRan {
 		end = Fail
 	}
 	if s.Budget <= 0 {
@@ -87,6 +88,10 @@
 		return p.Soon * spread
 	}
 	w := max(p.Again, 1)
+	if s.Cause == WasShed {
+		// No machine was troubled, so waits do not grow by it; they are as long as the line, and spread upwards.
+		return max(w, s.Delay) * (1 + 0.5*s.Jitter)
+	}
 	for range s.Asked - 1 {
 		if w *= max(p.Growth, 1); w >= p.Most {
 			w = max(p.Most, 1)
