What waits at the gate steps back when it is late, rather than being shed and coming back

An ask whose owner would only ask again was shed at its deadline and came back after a wait, with room beside it meanwhile. It now keeps its place behind those that can still be in time, until its owner gives up. Slow start doubles only on answers within a sixteenth of their aim: it overshot to 4,096 asks under way, which the loop itself could not answer in time.

--- a/internal/engine/tasks.go
+++ b/internal/engine/tasks.go
@@ -115,7 +115,7 @@
 	}
 	kind := &e.cfg.Placer.Kinds[0]
 	v, shed := e.gate.Arrive(e.now, gate.Item{ID: uint64(a.id), Tenant: t.tenant, Priority: k.Priority, Cost: max(t.cores/kind.Cores, t.memory/kind.Memory),
-		Deadline: a.deadline, Aim: k.Aim, Again: a.again, Shed: t.shed})
+		Deadline: a.deadline, Until: t.giveUp, Aim: k.Aim, Again: a.again, Shed: t.shed})
 	switch v {
 	case gate.Pass:
 		e.bring(a)
@@ -130,6 +130,7 @@
 func (e *Engine) bring(a *ask) {
 	t := a.t
 	a.queued = false
+	a.deadline = min(t.giveUp, e.now+e.cfg.Placer.Classes[t.class].Deadline)
 	t.asked++
 	e.feed(placer.Event{Kind: placer.Arrived, Task: placer.Task{ID: a.id, Class: t.class, Tenant: t.tenant, Service: t.service, Cores: t.cores,
 		Memory: t.memory, Again: a.again, Deadline: a.deadline}})
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -24,8 +24,8 @@
 	// An ask again draws one from a budget of at most RetryBurst. It has it back, with RetryRatio more, when it is placed; a first ask that
 	// is placed brings RetryRatio; time brings RetryRate a second.
 	RetryRatio, RetryRate, RetryBurst float64
-	// ShedDraws is a mistake that was made once and is kept for experiments: an item that was shed here counts as asked again, and one
-	// beyond the budget is shed at once.
+	// ShedDraws is a mistake that was made once and is kept for experiments: an item is shed at its Deadline, counts as asked again when it
+	// comes back, and is shed at once if it is beyond the budget.
 	ShedDraws bool
 	// Additive keeps the limit from growing faster than by one for each time that all under way are answered.
 	Additive bool
@@ -60,7 +60,8 @@
 	Tenant   int
 	Priority int     // higher goes first within its tenant
 	Cost     float64 // what it takes of the fleet, such as cores; at least a small amount is counted
-	Deadline float64 // when its owner stops waiting
+	Deadline float64 // when this ask is of no more use; it may be made again until the next
+	Until    float64 // when its owner stops waiting for good; no earlier than Deadline
 	Aim      float64 // how soon a start is worth most, from its arrival
 	// Again says that the machines had it before and did not keep it. One that was only ever shed here is a first ask.
 	Again bool
@@ -105,8 +106,8 @@
 	budget   float64 // asks that may be made again
 	budgetAt float64
 
-	// Passed, Queued, ShedLate, ShedFull and ShedRetry count.
-	Passed, Queued, ShedLate, ShedFull, ShedRetry uint64
+	// Passed, Queued, Overdue, ShedLate, ShedFull and ShedRetry count.
+	Passed, Queued, Overdue, ShedLate, ShedFull, ShedRetry uint64
 }
 
 // flying is an ask under way. Past its aim it is parked: it waits for a machine that may take it, keeps nobody busy, and does not
@@ -124,8 +125,8 @@
 	n      [kinds]int
 }
 
-// The kinds of items, in the order in which a tenant's go: those that may still be in time, those that were shed here and are late
-// whatever comes, and those that draw on the budget.
+// The kinds of items, in the order in which a tenant's go: those that may still be in time, those that waited or were shed here until they
+// are late whatever comes, and those that draw on the budget.
 const (
 	fresh = iota
 	returned
@@ -137,9 +138,10 @@
 
 type entry struct {
 	Item
-	at   float64
-	t    *tenant
-	gone bool
+	at     float64
+	latest float64 // when it is overdue or, if it is that already, shed
+	t      *tenant
+	gone   bool
 }
 
 func (e *Item) kind() int {
@@ -183,14 +185,11 @@
 	}
 }
 
-// latest is when an item must have passed at the latest.
-func (e *entry) latest() float64 { return e.Deadline - e.Aim/2 }
-
-// expiry orders all that waits by when it must have passed. Removed items are skipped when they come to the top.
+// expiry orders all that waits by when it must be looked at. Removed items are skipped when they come to the top.
 type expiry []*entry
 
 func (h expiry) Len() int           { return len(h) }
-func (h expiry) Less(i, j int) bool { return h[i].latest() < h[j].latest() }
+func (h expiry) Less(i, j int) bool { return h[i].latest < h[j].latest }
 func (h expiry) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 func (h *expiry) Push(x any)        { *h = append(*h, x.(*entry)) }
 func (h *expiry) Pop() any {
@@ -311,17 +310,26 @@
 		return Shed, Shedding{it.ID, g.delay(), "too many asks wait"}
 	}
 	e := &entry{Item: it, at: now, t: t}
+	e.latest = it.Deadline - it.Aim/2
+	if !g.cfg.ShedDraws && it.kind() != fresh {
+		e.latest = it.Until - it.Aim/2
+	}
 	if t.waits() == 0 {
 		// A tenant that comes back does not make up for the time that it asked nothing.
 		t.passed = max(t.passed, g.virtual)
 	}
-	g.waiting[it.ID] = e
-	t.add(e)
-	heap.Push(&g.expiry, e)
+	g.stand(e)
 	g.Queued++
 	return Wait, Shedding{}
 }
 
+// stand puts an entry in line.
+func (g *Gate) stand(e *entry) {
+	g.waiting[e.ID] = e
+	e.t.add(e)
+	heap.Push(&g.expiry, e)
+}
+
 // ahead is how many wait that an arrival of a kind may not overtake.
 func (g *Gate) ahead(kind int) (n int) {
 	for _, t := range g.tenants {
@@ -430,13 +438,17 @@
 			g.quickly = true
 		}
 		step := 1 / max(g.limit, 1)
-		if g.quickly {
+		if g.quickly && now-f.at <= max(f.aim, 0.001)/promptly {
 			step = 1
 		}
 		g.limit = min(g.limit+step, g.cfg.MaxInFlight)
 	}
 }
 
+// promptly is the part of its aim within which an answer must come for the limit to grow quickly: what takes longer stands in a line
+// somewhere already, and doubling would only make that longer.
+const promptly = 16.0
+
 const soundFor = 4.0 // windows without a late answer until the limit grows quickly again
 
 // Drop forgets an item wherever it is, with no lesson.
@@ -464,7 +476,16 @@
 // Next says which items pass now and which are refused because they could no longer start before their owner gives up.
 func (g *Gate) Next(now float64) (pass []uint64, shed []Shedding) {
 	g.refill(now)
-	for e := g.expiry.first(); e != nil && e.latest() <= now; e = g.expiry.first() {
+	for e := g.expiry.first(); e != nil && e.latest <= now; e = g.expiry.first() {
+		if last := e.Until - e.Aim/2; last > now && !g.cfg.ShedDraws {
+			// It is late whatever comes, but its owner still wants it: it steps back behind those that are not.
+			g.remove(e)
+			back := &entry{Item: e.Item, at: e.at, latest: last, t: e.t}
+			back.Shed = true
+			g.stand(back)
+			g.Overdue++
+			continue
+		}
 		why := "it waited until it could no longer start in time"
 		if e.Again && g.budget < 1 {
 			why = "too much is asked again"
@@ -505,7 +526,7 @@
 		at = g.young[0].at + max(g.young[0].aim, 0.001)
 	}
 	if e := g.expiry.first(); e != nil {
-		at = min(at, e.latest())
+		at = min(at, e.latest)
 	}
 	if g.budget < 1 && g.cfg.RetryRate > 0 && len(g.waiting) > 0 {
 		at = min(at, g.budgetAt+(1-g.budget)/g.cfg.RetryRate)
