Connections, history and objects share a budget of memory

4,000 watches that were never read beside a Job of 1,000 tasks held 1.9 GB; requests for lists in a pipeline whose answers were not read held without bound; changes and Jobs were bounded by number, not size; a method that a peer makes up made a series of metrics.

Package budget divides limits.memory, and what connections have among them: a stream may take as much as is still free, so that n greedy ones leave 1/(n+1) to the next; what cannot be taken in parts is taken and told, and then the largest that stood still the longest is cut off. The store counts bytes; a Job that would not fit is refused, and finished Jobs older than 30 s make room. Specs are shared by the Pods of a Job.

--- a/cmd/heathshed/run.go
+++ b/cmd/heathshed/run.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"heathshed/internal/audit"
+	"heathshed/internal/budget"
 	"heathshed/internal/httpd"
 	"heathshed/internal/loop"
 	"heathshed/internal/scheduler"
@@ -120,6 +122,9 @@
 func schedulerOptions(s *settings.Settings, l *loop.Loop, seed uint64, log zerolog.Logger) scheduler.Options {
 	h := httpd.DefaultOptions()
 	h.Limits.Body = s.Limits.Body
+	memory := int64(s.Limits.Memory) << 20
+	h.Memory = budget.Divide(memory).Connections
+	debug.SetMemoryLimit(memory) // the collector works harder near it; what is held is bounded by the shares
 	l.SetMaxConns(s.Limits.Connections)
 	return scheduler.Options{Engine: s.Engine(seed, int64(l.Now()*1e6)), Listen: s.Listen, Inventory: s.Inventory, Version: version, HTTP: h,
 		ConnectWithin: s.ConnectWithin, HeardWithin: s.HeardWithin, MaxList: s.Limits.Page, WatchQuiet: 90, Log: log}
--- a/internal/api/read.go
+++ b/internal/api/read.go
@@ -153,44 +153,51 @@
 	return s.page(r, sel, sn, after, limit)
 }
 
-// page writes one page of a list. The objects' texts are those that watches use.
+// wholeList is how large a list may be that is answered at once; a larger one is written as its reader takes it.
+const wholeList = 64 << 10
+
+// maxRows bounds a page of rows, which are made at once; who wants more goes on with the continue token.
+const maxRows = 1000
+
+// page answers one page of a list. The objects' texts are those that watches use.
 func (s *Server) page(r *request, sel selector, sn store.Snapshot, after string, limit int) (http1.Response, error) {
-	items := []byte{}
 	asTable := r.Head.Method == "GET" && wantsTable(r.Head.Header.Get("Accept"))
+	if asTable && (limit == 0 || limit > maxRows) {
+		limit = maxRows
+	}
+	m := metav1.ListMeta{ResourceVersion: strconv.FormatInt(sn.Rev, 10)}
 	var objects []store.Object
-	n, more, last := 0, false, ""
-	left := int64(0)
-	sn.Scan(sel.namespace, after, func(key string, c *store.Change) bool {
-		if !sel.matches(c.Object) {
+	if limit > 0 {
+		n, more, last := 0, false, ""
+		left := int64(0)
+		sn.Scan(sel.namespace, after, func(key string, c *store.Change) bool {
+			switch {
+			case !sel.matches(c.Object):
+			case n >= limit:
+				more = true
+				left++
+				// The rest is counted only where that costs nothing.
+				return sel.all && left < 1<<16
+			default:
+				if asTable {
+					objects = append(objects, c.Object)
+				}
+				n++
+				last = key
+			}
 			return true
+		})
+		if more {
+			token, err := json.Marshal(page{sn.Rev, last})
+			if err != nil {
+				return http1.Response{}, fmt.Errorf("encode continue token: %w", err)
+			}
+			m.Continue = base64.RawURLEncoding.EncodeToString(token)
+			if sel.all {
+				m.RemainingItemCount = &left
+			}
+			s.Store.Keep(s.now, sn)
 		}
-		if limit > 0 && n >= limit {
-			more = true
-			left++
-			// The rest is counted only where that costs nothing.
-			return sel.all && left < 1<<16
-		}
-		switch {
-		case asTable:
-			objects = append(objects, c.Object)
-		case n > 0:
-			items = append(items, ',')
-			fallthrough
-		default:
-			items = append(items, encoded(c)...)
-		}
-		n++
-		last = key
-		return true
-	})
-	m := metav1.ListMeta{ResourceVersion: strconv.FormatInt(sn.Rev, 10)}
-	if more {
-		token, _ := json.Marshal(page{sn.Rev, last})
-		m.Continue = base64.RawURLEncoding.EncodeToString(token)
-		if sel.all {
-			m.RemainingItemCount = &left
-		}
-		s.Store.Keep(s.now, sn)
 	}
 	if asTable {
 		return s.table(r, m, objects)
@@ -199,13 +206,71 @@
 	if err != nil {
 		return http1.Response{}, fmt.Errorf("encode list: %w", err)
 	}
-	out := make([]byte, 0, len(items)+len(head)+96)
-	out = fmt.Appendf(out, `{"kind":"%sList","apiVersion":"%s","metadata":`, r.kind.kind, r.kind.gv)
-	out = append(append(out, head...), `,"items":[`...)
-	out = append(append(out, items...), "]}\n"...)
-	return raw(200, out), nil
+	l := &lister{s: s, sel: sel, sn: sn, after: after, left: limit, all: limit == 0}
+	l.head = fmt.Appendf(nil, `{"kind":"%sList","apiVersion":"%s","metadata":%s,"items":[`, r.kind.kind, r.kind.gv, head)
+	out, done := l.Pull(nil, wholeList)
+	if done {
+		return raw(200, out), nil
+	}
+	l.head = out
+	return http1.Response{Status: 200, Header: []http1.Field{{Name: "Content-Type", Value: jsonType}}, Stream: l}, nil
+}
+
+// lister is a list that is written as its reader takes it, from one snapshot. It holds no text but the beginning. The snapshot keeps alive
+// what has changed since, so a reader must be done while the history still reaches back to it.
+type lister struct {
+	s      *Server
+	sel    selector
+	sn     store.Snapshot
+	after  string
+	left   int // items that may still come
+	all    bool
+	items  int
+	head   []byte
+	broken bool
+}
+
+// Pull implements http1.Stream.
+func (l *lister) Pull(b []byte, room int) ([]byte, bool) {
+	if l.s.Store.Overtaken(l.sn) {
+		l.broken = true
+		return b, true
+	}
+	limit := len(b) + room
+	b, l.head = append(b, l.head...), nil
+	end := true
+	l.sn.Scan(l.sel.namespace, l.after, func(key string, c *store.Change) bool {
+		if !l.all && l.left == 0 {
+			return false
+		}
+		if len(b) >= limit {
+			end = false
+			return false
+		}
+		l.after = key
+		if !l.sel.matches(c.Object) {
+			return true
+		}
+		if l.items > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, encoded(c)...)
+		l.items++
+		l.left--
+		return true
+	})
+	if end {
+		b = append(b, "]}\n"...)
+	}
+	return b, end
 }
 
+// Stopped implements http1.Stream.
+func (l *lister) Stopped() {}
+
+// Broken says that the list ends here without being whole.
+func (l *lister) Broken() bool { return l.broken }
+
 // watcher is one watch: a place in the history of a table. It holds no queue: what its reader has not taken stays in the
 // history, and one that falls behind what is kept is told so and cut off.
 type watcher struct {
@@ -334,6 +399,9 @@
 // Pull implements http1.Stream.
 func (w *watcher) Pull(b []byte, room int) ([]byte, bool) {
 	limit := len(b) + room
+	if w.initial != nil && w.s.Store.Overtaken(*w.initial) {
+		return w.expire(b, w.initial.Rev), true
+	}
 	for w.initial != nil && len(b) < limit {
 		n := 0
 		w.initial.Scan(w.sel.namespace, w.after, func(key string, c *store.Change) bool {
@@ -358,15 +426,7 @@
 		}
 		changes, err := st.Since(w.sel.kind.res, w.rev, pullBatch)
 		if err != nil {
-			text := fmt.Sprintf("too old resource version: %d (%d)", w.rev, st.Rev())
-			if !errors.Is(err, store.ErrExpired) {
-				text = err.Error()
-			}
-			var gone apierrors.APIStatus
-			errors.As(expired(text), &gone)
-			st := gone.Status()
-			st.TypeMeta = metav1.TypeMeta{Kind: "Status", APIVersion: "v1"}
-			return w.lone(b, "ERROR", &st), true
+			return w.expire(b, w.rev), true
 		}
 		if len(changes) == 0 {
 			w.rev = st.Rev()
@@ -394,6 +454,15 @@
 	return b, false
 }
 
+// expire writes the event that ends a watch whose place in the history is gone.
+func (w *watcher) expire(b []byte, rev int64) []byte {
+	var gone apierrors.APIStatus
+	errors.As(expired(fmt.Sprintf("too old resource version: %d (%d)", rev, w.s.Store.Rev())), &gone)
+	st := gone.Status()
+	st.TypeMeta = metav1.TypeMeta{Kind: "Status", APIVersion: "v1"}
+	return w.lone(b, "ERROR", &st)
+}
+
 // tell writes a change as its watcher sees it: an object that begins to match is added, one that no longer does is deleted.
 func (w *watcher) tell(b []byte, c *store.Change) []byte {
 	now := c.Op != store.Deleted && w.sel.matches(c.Object)
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,119 @@
+// Package budget divides memory: among the parts of the program, and among the connections of one part, none of which is trusted to ask
+// for little. It decides how much more each may take on, and who is cut off when it was too much all the same.
+//
+// It is pure and imports nothing of the project: time is passed in, there is no randomness.
+//
+// A user that takes of its own accord, such as a watch that is told of changes, may hold as much as is still free, and no more (the dynamic
+// threshold of Choudhury and Hahne, "Dynamic queue length thresholds for shared-memory packet switches", 1998). However many do so,
+// something stays free for the next: n of them hold a part of 1/(n+1) each. What cannot be taken in parts, such as the body of a request, is
+// taken and told; then the largest holder, and of holders of about the same size the one that has stood still the longest, is cut off
+// until the rest fits. So a user is never cut off because of one smaller than half of it.
+package budget
+
+import "math"
+
+// Shares is how memory is divided, in bytes.
+type Shares struct {
+	Connections int64 // what connections hold: requests, bodies, answers and watches that were not read
+	History     int64 // changes kept for watches
+	Objects     int64 // jobs, tasks and machines, with their encodings
+}
+
+// Least is the smallest memory that can be divided.
+const Least = 64 << 20
+
+// Divide splits memory into shares whose sum never exceeds it.
+func Divide(memory int64) Shares {
+	memory = max(memory, Least)
+	s := Shares{Connections: memory / 16, History: memory / 8}
+	s.Objects = memory - s.Connections - s.History - memory/4 // a quarter is left to what has no share of its own
+	return s
+}
+
+// Budget is memory shared by connections. The zero value is not usable; see New.
+type Budget struct {
+	total, held int64
+	users       map[uint64]*user
+
+	// Cut counts users that were cut off.
+	Cut uint64
+}
+
+type user struct {
+	held  int64
+	moved float64 // when it last held less than before, or joined
+}
+
+// Floor is what a user that holds nothing may always take, so that one small event or answer never waits for others.
+const Floor = 4 << 10
+
+// New makes a budget of so many bytes.
+func New(total int64) *Budget { return &Budget{total: max(total, Floor), users: map[uint64]*user{}} }
+
+// Held is what all users hold, Total what they may; Users is how many there are.
+func (b *Budget) Held() int64 { return b.held }
+
+// Total is what all users together may hold.
+func (b *Budget) Total() int64 { return b.total }
+
+// Users is the number of users.
+func (b *Budget) Users() int { return len(b.users) }
+
+// Join adds a user that holds nothing.
+func (b *Budget) Join(now float64, id uint64) { b.users[id] = &user{moved: now} }
+
+// Leave takes a user away with all that it holds.
+func (b *Budget) Leave(id uint64) {
+	if u := b.users[id]; u != nil {
+		b.held -= u.held
+		delete(b.users, id)
+	}
+}
+
+// Room is how many more bytes a user may take on of its own accord.
+func (b *Budget) Room(id uint64) int64 {
+	u := b.users[id]
+	if u == nil {
+		return 0
+	}
+	room := b.total - b.held - u.held
+	if u.held == 0 {
+		room = max(room, min(Floor, b.total))
+	}
+	return max(room, 0)
+}
+
+// Hold tells what a user holds now.
+func (b *Budget) Hold(now float64, id uint64, bytes int64) {
+	u := b.users[id]
+	if u == nil {
+		return
+	}
+	if bytes < u.held {
+		u.moved = now
+	}
+	b.held += bytes - u.held
+	u.held = bytes
+}
+
+// Over returns a user that must be cut off because more is held than there is, and false if all fits. The caller has it leave and asks
+// again.
+func (b *Budget) Over() (id uint64, over bool) {
+	if b.held <= b.total {
+		return 0, false
+	}
+	var most int64
+	for _, u := range b.users {
+		most = max(most, u.held)
+	}
+	oldest := math.Inf(1)
+	for i, u := range b.users {
+		if u.held > most/2 && (u.moved < oldest || u.moved == oldest && i < id) {
+			id, oldest, over = i, u.moved, true
+		}
+	}
+	if over {
+		b.Cut++
+	}
+	return id, over
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -41,6 +41,8 @@
 	BaseRev      int64   // revisions begin above this
 	History      int     // changes kept per table for watches
 	MaxPods      int     // Pods held at a time; further Jobs are turned away
+	MaxHistory   int64   // bytes of changes kept for watches, as store.Cost counts; 0 is no bound
+	MaxObjects   int64   // bytes of objects held at a time, counted so; further Jobs are turned away. 0 is no bound
 	KeepFinished float64 // seconds that a finished Job without a time of its own is kept
 	LostAfter    float64 // seconds that a machine may be neither heard of nor listed before its tasks count as lost
 	AdmitAtOnce  int     // tasks begun in one call; the rest follow in the next
@@ -114,7 +116,8 @@
 	admits   bool   // a timer for the backlog is set
 	listed   bool   // the inventory was heard of
 	stopping bool
-	unnamed  int // tasks that have no final answer yet
+	unnamed  int    // tasks that have no final answer yet
+	finished []*job // Jobs that have ended, the oldest first; those that are gone are skipped
 
 	// Stats count what happened since the start.
 	Stats Stats
@@ -157,7 +160,7 @@
 		cfg.Owner = owner.DefaultPolicy()
 	}
 	e := &Engine{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x6865617468)),
-		store: store.New(cfg.BaseRev, cfg.History), jobs: map[string]*job{}, tasks: map[types.UID]*task{},
+		store: store.NewBounded(cfg.BaseRev, cfg.History, cfg.MaxHistory), jobs: map[string]*job{}, tasks: map[types.UID]*task{},
 		asks: map[placer.TaskID]*ask{}, nodes: map[string]*node{}, byID: map[placer.NodeID]*node{},
 		zones: map[string]int{cfg.Zone: 0}, racks: map[string]int{}}
 	e.cfg.Placer.Zone = 0
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -1,12 +1,15 @@
 package engine
 
 import (
+	"errors"
+	"strings"
 	"testing"
 
 	batchv1 "k8s.io/api/batch/v1"
 	corev1 "k8s.io/api/core/v1"
 
 	"heathshed/internal/meta"
+	"heathshed/internal/store"
 	"heathshed/placer"
 )
 
@@ -111,3 +114,49 @@
 		}
 	}
 }
+
+// What is over makes room for what is new, the oldest first, but not before its outcome could be read.
+func TestFinishedJobsMakeRoom(t *testing.T) {
+	e := newEngine(t)
+	e.cfg.MaxPods, e.cfg.MaxObjects = 100, 1<<30
+	create := func(now float64, name string, n int) error {
+		j := &batchv1.Job{}
+		j.Name, j.Namespace = name, "default"
+		k, zero := int32(n), int32(0)
+		j.Spec.Completions, j.Spec.Parallelism, j.Spec.BackoffLimit = &k, &k, &zero
+		_, err := e.CreateJob(now, j, false)
+		for range 10 {
+			e.Tick(now)
+		}
+		return err
+	}
+	now := 1000.0
+	if err := create(now, "a", 60); err != nil {
+		t.Fatal(err)
+	}
+	if err := create(now, "b", 60); !errors.Is(err, ErrTooMany) {
+		t.Fatalf("120 of 100 Pods: %v", err)
+	}
+	// No machine is there: all are refused by their deadline.
+	for ; e.Open() > 0 && now < 1100; now++ {
+		e.Tick(now)
+	}
+	if err := create(now, "b", 60); !errors.Is(err, ErrTooMany) {
+		t.Fatalf("a Job that has just ended was taken away: %v", err)
+	}
+	if err := create(now+31, "b", 60); err != nil {
+		t.Fatalf("what is over makes no room: %v", err)
+	}
+	if e.Store().Get(store.Jobs, "default", "a") != nil {
+		t.Error("the Job that ended is still there")
+	}
+	big := &batchv1.Job{}
+	big.Name, big.Namespace = "big", "default"
+	n := int32(100)
+	big.Spec.Completions, big.Spec.Parallelism = &n, &n
+	big.Spec.Template.Annotations = map[string]string{"x": strings.Repeat("x", 4<<20)}
+	var inv *InvalidError
+	if _, err := e.CreateJob(now+32, big, false); !errors.As(err, &inv) {
+		t.Errorf("a Job of 400 MB: %v", err)
+	}
+}
--- a/internal/engine/jobs.go
+++ b/internal/engine/jobs.go
@@ -41,6 +41,8 @@
 	queued         bool
 	gone           bool // deleted; Pods may be left
 	done           bool
+	doneAt         float64
+	podCost        int64 // of each of its Pods, as store.Cost counts
 	suspended      bool
 	foreground     bool
 	takenOver      bool
@@ -154,9 +156,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if e.store.Len(store.Pods)+e.waitingPods()+len(j.slots) > e.cfg.MaxPods {
-		e.Stats.JobsTurnedAway++
-		return nil, ErrTooMany
+	j.podCost = store.Cost(o)
+	if need := j.podCost * int64(1+len(j.slots)); e.cfg.MaxObjects > 0 && need > e.cfg.MaxObjects {
+		return nil, &InvalidError{"spec.template", fmt.Sprintf("%d tasks of this size take %d bytes: at most %d", len(j.slots), need, e.cfg.MaxObjects),
+			len(j.slots)}
+	}
+	for e.full(j) {
+		if !e.makeRoom(dry) {
+			e.Stats.JobsTurnedAway++
+			return nil, ErrTooMany
+		}
 	}
 	if dry {
 		return o, nil
@@ -169,13 +178,50 @@
 	return e.store.Get(store.Jobs, o.Namespace, o.Name).(*batchv1.Job), nil
 }
 
-// waitingPods is the number of tasks that were taken and have no Pod yet.
-func (e *Engine) waitingPods() int {
-	n := 0
+// full says whether a Job is too much beside what is held.
+func (e *Engine) full(j *job) bool {
+	pods, bytes := e.waitingPods()
+	return e.store.Len(store.Pods)+pods+len(j.slots) > e.cfg.MaxPods ||
+		e.cfg.MaxObjects > 0 && e.store.Live()+bytes+j.podCost*int64(1+len(j.slots)) > e.cfg.MaxObjects
+}
+
+// keptLeast is how long a finished Job stays, so that its outcome can be read, even if room is wanted.
+const keptLeast = 30.0 // seconds
+
+// makeRoom takes away the Job that finished first, and says whether there was one. A limit that is full of what is over must let go.
+func (e *Engine) makeRoom(dry bool) bool {
+	for len(e.finished) > 0 {
+		j := e.finished[0]
+		if !j.gone && e.jobs[j.key] == j {
+			if dry || e.now-j.doneAt < keptLeast {
+				return false
+			}
+			e.removeJob(j, metav1.DeletePropagationBackground)
+			e.finished = e.finished[1:]
+			return true
+		}
+		e.finished = e.finished[1:]
+	}
+	return false
+}
+
+// ended notes that a Job has finished.
+func (e *Engine) ended(j *job) {
+	j.done, j.doneAt = true, e.now
+	e.Stats.JobsFinished++
+	if len(e.finished) > 2*len(e.jobs)+16 {
+		e.finished = slices.DeleteFunc(e.finished, func(j *job) bool { return j.gone })
+	}
+	e.finished = append(e.finished, j)
+}
+
+// waitingPods is the number of tasks that were taken and have no Pod yet, and what they will take.
+func (e *Engine) waitingPods() (n int, bytes int64) {
 	for _, j := range e.backlog {
 		n += len(j.slots) - j.next
+		bytes += j.podCost * int64(len(j.slots)-j.next)
 	}
-	return n
+	return n, bytes
 }
 
 func (e *Engine) startJob(j *job) {
@@ -245,7 +291,7 @@
 	}
 	s.cur = t
 	j.active++
-	p := &corev1.Pod{Spec: *j.obj.Spec.Template.Spec.DeepCopy()}
+	p := &corev1.Pod{Spec: j.obj.Spec.Template.Spec} // shared: what is in the store is never changed
 	p.Name, p.Namespace, p.UID = t.name, t.namespace, t.uid
 	p.GenerateName = fmt.Sprintf("%s-%d-", j.obj.Name, i)
 	p.Labels = maps.Clone(j.obj.Spec.Template.Labels)
@@ -387,8 +433,7 @@
 	if j.failWhole == "" && j.succeeded+j.exhausted < len(j.slots) {
 		return
 	}
-	j.done = true
-	e.Stats.JobsFinished++
+	e.ended(j)
 	e.stopTimer(j.deadline)
 	e.touchJob(j)
 	keep := e.cfg.KeepFinished
@@ -427,8 +472,7 @@
 		return
 	}
 	if len(j.slots) == 0 && !j.done && !j.suspended {
-		j.done = true
-		e.Stats.JobsFinished++
+		e.ended(j)
 	}
 	o := j.obj.DeepCopy()
 	s := &o.Status
--- a/internal/engine/nodes.go
+++ b/internal/engine/nodes.go
@@ -38,7 +38,7 @@
 	goneSince float64
 	shownAt   float64
 	shownAs   uint64 // what the inventory said but for the room, when it was shown
-	told      bool // the placer knows it
+	told      bool   // the placer knows it
 }
 
 // Listing is how the inventory's words are meant.
--- a/internal/engine/tasks.go
+++ b/internal/engine/tasks.go
@@ -197,7 +197,9 @@
 	if p == nil {
 		panic("engine: task without a Pod: " + string(t.uid))
 	}
-	p = p.DeepCopy()
+	next := *p
+	p.ObjectMeta.DeepCopyInto(&next.ObjectMeta)
+	p = &next
 	p.ResourceVersion = ""
 	p.Labels[meta.Scheduler] = e.cfg.Name
 	p.Labels[meta.Class] = e.cfg.Classes[t.class]
@@ -222,9 +224,12 @@
 	if p == nil {
 		return
 	}
-	p = p.DeepCopy()
-	f(p)
-	e.store.Put(store.Pods, p)
+	// A spec may be large, and all that ever changes in it is the name of the machine.
+	next := *p
+	p.ObjectMeta.DeepCopyInto(&next.ObjectMeta)
+	p.Status.DeepCopyInto(&next.Status)
+	f(&next)
+	e.store.Put(store.Pods, &next)
 }
 
 // OfferAnswer is how a machine answered an offer.
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -43,7 +43,7 @@
 // New returns a client for the server at a literal address.
 func New(l *loop.Loop, addr string) *Client {
 	lim := http1.DefaultLimits()
-	lim.Body = 256 << 20
+	lim.Body = 64 << 20
 	return &Client{l: l, addr: addr, ConnectWithin: 1, Pool: connpool.DefaultPolicy(), Limits: lim}
 }
 
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 
+	"heathshed/internal/budget"
 	"heathshed/internal/http1"
 	"heathshed/internal/loop"
 )
@@ -20,12 +21,13 @@
 	HeadWithin  float64 // seconds from the first byte of a request to its last
 	IdleWithin  float64 // seconds between requests
 	StallWithin float64 // seconds that a peer may take nothing of what waits for it
-	HighWater   int     // bytes that may wait to be sent before a stream is no longer pulled
+	HighWater   int     // bytes that may wait to be sent before a stream is no longer pulled, or the next request taken
+	Memory      int64   // bytes that all connections together may hold: see package budget
 }
 
 // DefaultOptions are those of the API server.
 func DefaultOptions() Options {
-	return Options{Limits: http1.DefaultLimits(), HeadWithin: 15, IdleWithin: 300, StallWithin: 30, HighWater: 256 << 10}
+	return Options{Limits: http1.DefaultLimits(), HeadWithin: 15, IdleWithin: 300, StallWithin: 30, HighWater: 256 << 10, Memory: 128 << 20}
 }
 
 // Server is a set of connections that share a handler.
@@ -37,14 +39,22 @@
 	conns    map[*conn]struct{}
 	streams  map[*conn]struct{}
 	draining bool
+	memory   *budget.Budget
+	lastID   uint64
+	byID     map[uint64]*conn
+	cutting  bool
 
-	// Requests, BadRequests and Streams count for metrics.
+	// Requests and BadRequests count for metrics.
 	Requests, BadRequests uint64
 }
 
 // Listen serves at an address.
 func Listen(l *loop.Loop, addr string, o Options, h Handler) (*Server, error) {
-	s := &Server{l: l, o: o, handler: h, conns: map[*conn]struct{}{}, streams: map[*conn]struct{}{}}
+	s := &Server{l: l, o: o, handler: h, conns: map[*conn]struct{}{}, streams: map[*conn]struct{}{}, byID: map[uint64]*conn{}}
+	if o.Memory <= 0 {
+		s.o.Memory = DefaultOptions().Memory
+	}
+	s.memory = budget.New(s.o.Memory)
 	ln, err := l.Listen(addr, func(*loop.Conn) loop.Handler {
 		return &conn{s: s, dec: http1.Decoder{Limits: o.Limits}}
 	})
@@ -64,6 +74,26 @@
 // Streams is the number of answers that still go on.
 func (s *Server) Streams() int { return len(s.streams) }
 
+// Memory is what connections share, to be read between events.
+func (s *Server) Memory() *budget.Budget { return s.memory }
+
+// held tells the budget what a connection holds, and cuts off whom the budget names.
+func (c *conn) held() {
+	s := c.s
+	if c.lc.Closed() {
+		return
+	}
+	s.memory.Hold(s.l.Now(), c.id, int64(c.lc.Held()+cap(c.ex.body)))
+	if s.cutting {
+		return
+	}
+	s.cutting = true
+	for id, over := s.memory.Over(); over; id, over = s.memory.Over() {
+		s.byID[id].lc.Close()
+	}
+	s.cutting = false
+}
+
 // Kick pulls every stream whose peer keeps up. Call it when something has happened that streams tell of.
 func (s *Server) Kick() {
 	for c := range s.streams {
@@ -100,6 +130,7 @@
 // conn is one connection; it answers one request at a time, in order.
 type conn struct {
 	s     *Server
+	id    uint64
 	lc    *loop.Conn
 	dec   http1.Decoder
 	x     *Exchange // the request being read or answered
@@ -127,6 +158,10 @@
 	c.lc, c.moved = lc, lc.Loop().Now()
 	lc.MaxIn = c.s.o.Limits.Head + 64<<10
 	c.s.conns[c] = struct{}{}
+	c.s.lastID++
+	c.id = c.s.lastID
+	c.s.byID[c.id] = c
+	c.s.memory.Join(c.moved, c.id)
 	c.arm()
 }
 
@@ -167,8 +202,21 @@
 }
 
 func (c *conn) Data(lc *loop.Conn, b []byte) int {
+	n := c.take(lc, b)
+	if !lc.Closed() {
+		c.held()
+	}
+	return n
+}
+
+func (c *conn) take(lc *loop.Conn, b []byte) int {
 	n := 0
 	for !c.last && (c.x == nil || !c.x.asked) {
+		if c.x == nil && c.begun == 0 && lc.Buffered() > c.s.o.HighWater {
+			// It asks faster than it reads the answers: the next request waits until these have gone.
+			lc.PauseRead(true)
+			return n
+		}
 		if c.begun == 0 {
 			if len(b) == n {
 				break
@@ -295,7 +343,10 @@
 	}
 	c.lc.SetOut(out)
 	c.within(c.s.o.StallWithin)
-	c.next()
+	c.held()
+	if !c.lc.Closed() {
+		c.next()
+	}
 }
 
 // next makes the connection ready for another request.
@@ -306,63 +357,74 @@
 		c.lc.CloseAfterFlush()
 		return
 	}
-	if cap(c.ex.body) > 64<<10 {
+	if cap(c.ex.body) > 4<<10 {
 		c.ex.body = nil
 	}
-	c.lc.PauseRead(false)
+	if c.lc.Buffered() <= c.s.o.HighWater {
+		c.lc.PauseRead(false)
+	}
 	c.lc.Redeliver()
 }
 
+// pull has the stream of the present answer write what it may.
 func (c *conn) pull() {
 	x := c.x
 	if x == nil || x.stream == nil {
 		return
 	}
-	for c.lc.Buffered() < c.s.o.HighWater {
-		room := c.s.o.HighWater - c.lc.Buffered()
-		if x.Head.Minor == 0 {
-			before := len(c.lc.Out())
-			out, done := x.stream.Pull(c.lc.Out(), room)
-			if len(out) > before {
-				c.lc.SetOut(out)
-			}
-			if done {
-				c.endStream()
-				return
-			}
-			if len(out) == before {
-				return
-			}
-			continue
-		}
-		// The chunk's size stands before its data: leave room for eight digits.
-		out := c.lc.Out()
-		before := len(out)
-		out = append(out, "00000000\r\n"...)
-		out, done := x.stream.Pull(out, room)
-		size := len(out) - before - 10
-		if size > 0 {
-			const hex = "0123456789abcdef"
-			for i, v := 7, size; i >= 0; i, v = i-1, v>>4 {
-				out[before+i] = hex[v&15]
-			}
-			c.lc.SetOut(append(out, "\r\n"...))
-		} else {
-			// Nothing came: take the size line back without waking the writer.
-			out = out[:before]
-			c.lc.Untouched(out)
-		}
-		if done {
-			c.lc.Write([]byte(http1.LastChunk))
-			c.endStream()
+	// What goes out at the end of this turn counts until then.
+	for c.lc.Buffered() < c.s.o.HighWater && x.stream != nil && !c.lc.Closed() {
+		room := min(c.s.o.HighWater-c.lc.Buffered(), int(c.s.memory.Room(c.id)))
+		if room <= 0 {
 			return
 		}
-		if size <= 0 {
+		if !c.pullOnce(x, room) {
+			c.held()
 			return
 		}
+		c.held()
 	}
 }
 
+// pullOnce pulls once, and says whether there may be more.
+func (c *conn) pullOnce(x *Exchange, room int) bool {
+	out := c.lc.Out()
+	before := len(out)
+	chunked := x.Head.Minor > 0
+	if chunked {
+		// The chunk's size stands before its data: leave room for eight digits.
+		out = append(out, "00000000\r\n"...)
+	}
+	start := len(out)
+	out, done := x.stream.Pull(out, room)
+	size := len(out) - start
+	switch {
+	case size == 0:
+		// Nothing came: take the size line back without waking the writer.
+		c.lc.Untouched(out[:before])
+	case chunked:
+		const hex = "0123456789abcdef"
+		for i, v := 7, size; i >= 0; i, v = i-1, v>>4 {
+			out[before+i] = hex[v&15]
+		}
+		c.lc.SetOut(append(out, "\r\n"...))
+	default:
+		c.lc.SetOut(out)
+	}
+	if !done {
+		return size > 0
+	}
+	if b, ok := x.stream.(interface{ Broken() bool }); ok && b.Broken() {
+		c.lc.Close() // it must not look whole
+		return false
+	}
+	if chunked {
+		c.lc.Write([]byte(http1.LastChunk))
+	}
+	c.endStream()
+	return false
+}
+
 func (c *conn) endStream() {
 	x := c.x
 	delete(c.s.streams, c)
@@ -374,10 +436,16 @@
 func (c *conn) Drained(*loop.Conn) {
 	c.moved = c.s.l.Now()
 	c.pull()
+	if c.x == nil && !c.last && !c.lc.Closed() {
+		c.lc.PauseRead(false)
+	}
+	c.held()
 }
 
 func (c *conn) Closed(*loop.Conn, error) {
 	c.timer.Stop()
+	c.s.memory.Leave(c.id)
+	delete(c.s.byID, c.id)
 	delete(c.s.conns, c)
 	delete(c.s.streams, c)
 	if c.x != nil && c.x.stream != nil {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -90,6 +90,9 @@
 // Buffered is the number of bytes written that the system has not taken.
 func (c *Conn) Buffered() int { return len(c.out) - c.sent }
 
+// Held is the memory that the connection's queues take, in bytes.
+func (c *Conn) Held() int { return cap(c.in) + cap(c.out) }
+
 // Closed says whether the connection is over.
 func (c *Conn) Closed() bool { return c.closed }
 
@@ -330,6 +333,12 @@
 				c.out = c.out[:copy(c.out, c.out[c.sent:])]
 				c.sent = 0
 			}
+			// What has to wait for its reader waits in as little as it needs.
+			if left := len(c.out) - c.sent; cap(c.out) > 2*left+4096 {
+				small := append(make([]byte, 0, left), c.out[c.sent:]...)
+				c.release()
+				c.out, c.sent = small, 0
+			}
 			return
 		}
 		if err != nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -26,6 +26,7 @@
 	// DefaultMaxConns is how many accepted connections a loop holds.
 	DefaultMaxConns = 16384
 	readChunk       = 64 << 10
+	sendBuffer      = 128 << 10 // of the system, for an accepted connection; it takes twice as much
 	acceptBatch     = 64
 	maxSpare        = 64 << 10
 	maxSpares       = 256
@@ -329,6 +330,8 @@
 			continue
 		}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		// The system's own queue for a reader that does not read is memory too.
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
 		c := l.add(fd, unix.EPOLLIN|unix.EPOLLRDHUP)
 		if c == nil {
 			continue
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -17,6 +17,7 @@
 
 	"heathshed/internal/audit"
 	"heathshed/internal/badday"
+	"heathshed/internal/budget"
 	"heathshed/internal/httpd"
 	"heathshed/internal/loop"
 	"heathshed/internal/meta"
@@ -92,6 +93,7 @@
 	}
 	h := httpd.DefaultOptions()
 	h.Limits.Body = c.s.Limits.Body
+	h.Memory = budget.Divide(int64(c.s.Limits.Memory) << 20).Connections
 	c.sch, err = New(l, Options{Engine: c.s.Engine(7, int64(l.Now()*1e6)), Listen: c.s.Listen, Inventory: c.s.Inventory, Version: "test",
 		HTTP: h, ConnectWithin: c.s.ConnectWithin, HeardWithin: c.s.HeardWithin, Log: zerolog.Nop()})
 	if err != nil {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -66,6 +66,13 @@
 	gauge("machines_heard", "Machines whose tasks are being watched.", func() float64 { _, n := s.e.Heard(); return float64(n) })
 	gauge("watches", "Open watches.", func() float64 { return float64(s.api.Watchers()) })
 	gauge("connections", "Open API connections.", func() float64 { return float64(s.http.Conns()) })
+	gauge("connections_bytes", "Memory that API connections hold: requests, bodies, answers that were not read.",
+		func() float64 { return float64(s.http.Memory().Held()) })
+	gauge("connections_bytes_limit", "Memory that they may hold.", func() float64 { return float64(s.http.Memory().Total()) })
+	counter("connections_cut_total", "API connections cut off because they held too much.", func() uint64 { return s.http.Memory().Cut })
+	gauge("objects_bytes", "Memory of the objects held, counted high.", func() float64 { return float64(s.e.Store().Live()) })
+	gauge("history_bytes", "Memory of the changes kept for watches, counted high.", func() float64 { return float64(s.e.Store().Past()) })
+	gauge("gate_budget", "Asks that may be made again at once.", func() float64 { return s.e.Gate().Budget() })
 	gauge("revision", "Revision of the last change.", func() float64 { return float64(s.e.Store().Rev()) })
 	counter("bad_requests_total", "Requests that could not be read.", func() uint64 { return s.http.BadRequests })
 	counter("loop_turns_total", "Turns of the event loop.", func() uint64 { return s.l.Iterations })
@@ -73,6 +80,11 @@
 }
 
 func (m *metrics) request(method string, code int) {
+	switch method {
+	case "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS":
+	default:
+		method = "other" // a peer must not make series
+	}
 	m.requests.WithLabelValues(method, strconv.Itoa(code)).Inc()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"k8s.io/apimachinery/pkg/util/validation"
 
 	"heathshed/internal/badday"
+	"heathshed/internal/budget"
 	"heathshed/internal/engine"
 	"heathshed/internal/gate"
 	"heathshed/internal/machine"
@@ -139,6 +140,7 @@
 
 // Limits bound what the program holds.
 type Limits struct {
+	Memory       int     `json:"memory"` // MiB, divided by package budget
 	Connections  int     `json:"connections"`
 	Body         int     `json:"body"`
 	Pods         int     `json:"pods"`
@@ -196,7 +198,7 @@
 		Gate: Gate{On: true, MinInFlight: g.MinInFlight, MaxInFlight: g.MaxInFlight, Start: g.Start, Decrease: g.Decrease, Window: g.Window,
 			LatePart: g.LatePart, MaxWaiting: g.MaxWaiting, RetryRatio: g.RetryRatio, RetryRate: g.RetryRate, RetryBurst: g.RetryBurst},
 		HeardWithin: 5, ConnectWithin: 1, StopWithin: 30,
-		Limits: Limits{Connections: 16384, Body: 3 << 20, Pods: engine.DefaultMaxPods, History: engine.DefaultHistory, KeepFinished: 3600,
+		Limits: Limits{Memory: 2048, Connections: 16384, Body: 3 << 20, Pods: engine.DefaultMaxPods, History: engine.DefaultHistory, KeepFinished: 3600,
 			LostAfter: engine.DefaultLostAfter},
 		StandIn: StandIn{Nodes: 8, Racks: 2, Zones: 1, Late: 1, SilentAfter: 2, RemoveAfter: 60, LookMin: m.LookMin, LookMax: m.LookMax,
 			MaxWaiting: m.MaxWaiting, StartsAtOnce: m.StartsAtOnce, StartWork: m.StartWork, FreshFactor: m.FreshFactor,
@@ -355,6 +357,7 @@
 		{path: "gate.window", v: s.Gate.Window, lo: 0, hi: 60}, {path: "gate.latePart", v: s.Gate.LatePart, lo: 0, hi: 1},
 		{path: "gate.maxWaiting", v: float64(s.Gate.MaxWaiting), lo: 1, hi: 1e9}, {path: "gate.retryRatio", v: s.Gate.RetryRatio, lo: 0, hi: 100},
 		{path: "gate.retryRate", v: s.Gate.RetryRate, lo: 0, hi: 1e9}, {path: "gate.retryBurst", v: s.Gate.RetryBurst, lo: 0, hi: 1e9},
+		{path: "limits.memory", v: float64(s.Limits.Memory), lo: budget.Least >> 20, hi: 1 << 20},
 		{path: "limits.connections", v: float64(s.Limits.Connections), lo: 1, hi: 1e6}, {path: "limits.body", v: float64(s.Limits.Body), lo: 1024, hi: 1 << 30},
 		{path: "limits.pods", v: float64(s.Limits.Pods), lo: 1, hi: 1e7}, {path: "limits.history", v: float64(s.Limits.History), lo: 1, hi: 1e7},
 		{path: "limits.page", v: float64(s.Limits.Page), lo: 0, hi: 1e7}, {path: "limits.keepFinished", v: s.Limits.KeepFinished, lo: 0, hi: 1e9},
@@ -388,7 +391,8 @@
 
 // Engine turns settings into an engine's configuration.
 func (s *Settings) Engine(seed uint64, baseRev int64) engine.Config {
-	c := engine.Config{Name: s.Name, Zone: s.Zone, Seed: seed, BaseRev: baseRev, History: s.Limits.History, MaxPods: s.Limits.Pods,
+	m := budget.Divide(int64(s.Limits.Memory) << 20)
+	c := engine.Config{MaxHistory: m.History, MaxObjects: m.Objects, Name: s.Name, Zone: s.Zone, Seed: seed, BaseRev: baseRev, History: s.Limits.History, MaxPods: s.Limits.Pods,
 		KeepFinished: s.Limits.KeepFinished, LostAfter: s.Limits.LostAfter, Gate: s.Gate.config(),
 		Owner: owner.Policy{Again: s.Owner.Again, Soon: s.Owner.Soon, Growth: s.Owner.Growth, Most: s.Owner.Most, Settle: s.Owner.Settle}}
 	p := placer.Config{Self: s.Self, Peers: s.Peers, BookCores: s.Machines.BookCores, BookMemory: s.Machines.BookMemory,
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -52,6 +52,7 @@
 // the revision of the deletion. Cache and
 // Binary are for whoever encodes it: one encoding serves every watcher.
 type Change struct {
+	cost         int64
 	Rev          int64
 	Op           Op
 	Object, Prev Object
@@ -70,6 +71,7 @@
 	rev    int64
 	tables [resources]table
 	keep   int
+	most   int64 // cost of the history of each table
 	kept   []Snapshot
 }
 
@@ -79,12 +81,18 @@
 	history []*Change
 	head    int
 	lost    int64
+	past    int64 // cost of the history
+	live    int64 // cost of the objects
 }
 
 // New makes a store whose first change gets a revision above base, and which keeps at least so many changes per table.
 // A base that grows with time lets revisions go on growing over restarts.
-func New(base int64, keep int) *Store {
-	s := &Store{rev: base, keep: max(keep, 1)}
+func New(base int64, keep int) *Store { return NewBounded(base, keep, 0) }
+
+// NewBounded is New with a bound on the memory of all histories together, in bytes as Cost counts them: fewer changes are kept where they
+// are large. 0 is no bound.
+func NewBounded(base int64, keep int, most int64) *Store {
+	s := &Store{rev: base, keep: max(keep, 1), most: most / int64(resources)}
 	for i := range s.tables {
 		s.tables[i].lost = base
 	}
@@ -114,16 +122,43 @@
 // Len is the number of objects in a table.
 func (s *Store) Len(r Resource) int { return s.tables[r].objects.Len() }
 
+// Cost is the memory that an object takes while it is kept, in bytes: itself, and its texts in each encoding. It is counted high.
+func Cost(o Object) int64 {
+	size := 0
+	if z, ok := o.(interface{ Size() int }); ok {
+		size = z.Size()
+	}
+	return 2048 + 5*int64(size)
+}
+
+// Live is the cost of all objects that stand, Past that of the history.
+func (s *Store) Live() (n int64) {
+	for i := range s.tables {
+		n += s.tables[i].live
+	}
+	return n
+}
+
+// Past is the cost of the changes that are kept.
+func (s *Store) Past() (n int64) {
+	for i := range s.tables {
+		n += s.tables[i].past
+	}
+	return n
+}
+
 // Put adds or replaces an object and sets its resourceVersion. The caller gives the object away.
 func (s *Store) Put(r Resource, o Object) int64 {
 	t := &s.tables[r]
 	s.rev++
 	o.SetResourceVersion(strconv.FormatInt(s.rev, 10))
-	c := &Change{Rev: s.rev, Op: Added, Object: o}
+	c := &Change{Rev: s.rev, Op: Added, Object: o, cost: Cost(o)}
 	if prev, replaced := t.objects.Set(Key(o.GetNamespace(), o.GetName()), c); replaced {
 		c.Op, c.Prev = Modified, prev.Object
+		t.live -= prev.cost
 	}
-	t.add(c, s.keep)
+	t.live += c.cost
+	t.add(c, s.keep, s.most)
 	return s.rev
 }
 
@@ -138,17 +173,21 @@
 	prev := was.Object
 	last := prev.DeepCopyObject().(Object)
 	last.SetResourceVersion(strconv.FormatInt(s.rev, 10))
-	t.add(&Change{Rev: s.rev, Op: Deleted, Object: last, Prev: prev}, s.keep)
+	t.live -= was.cost
+	t.add(&Change{Rev: s.rev, Op: Deleted, Object: last, Prev: prev, cost: was.cost}, s.keep, s.most)
 	return true
 }
 
-func (t *table) add(c *Change, keep int) {
+func (t *table) add(c *Change, keep int, most int64) {
 	t.history = append(t.history, c)
-	if len(t.history)-t.head > keep {
+	t.past += c.cost
+	// The last change is always kept, so that who keeps up is never told that it is too old.
+	for n := len(t.history) - t.head; n > keep || most > 0 && t.past > most && n > 1; n = len(t.history) - t.head {
 		t.lost = t.history[t.head].Rev
+		t.past -= t.history[t.head].cost
 		t.history[t.head] = nil
 		t.head++
-		if t.head > keep {
+		if t.head > min(keep, 1024) && t.head > len(t.history)/2 {
 			t.history = append([]*Change(nil), t.history[t.head:]...)
 			t.head = 0
 		}
@@ -217,7 +256,7 @@
 func (s *Store) expire(now float64) {
 	n := 0
 	for _, k := range s.kept {
-		if now-k.at <= keptFor {
+		if now-k.at <= keptFor && !s.Overtaken(k) {
 			s.kept[n] = k
 			n++
 		}
@@ -226,6 +265,9 @@
 	s.kept = s.kept[:n]
 }
 
+// Overtaken says that the history no longer reaches back to a snapshot. Who still holds it keeps alive what nobody else does.
+func (s *Store) Overtaken(sn Snapshot) bool { return sn.Rev < s.tables[sn.Resource].lost }
+
 // Kept finds a snapshot that was kept, or the present one if it is of that revision.
 func (s *Store) Kept(now float64, r Resource, rev int64) (Snapshot, error) {
 	s.expire(now)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	corev1 "k8s.io/api/core/v1"
@@ -119,3 +120,42 @@
 		t.Errorf("kept too long: %v", err)
 	}
 }
+
+// Large changes leave fewer in the history, and its cost is free again; objects that go give theirs back.
+func TestHistoryIsBoundedInBytes(t *testing.T) {
+	const most = 8 << 20
+	s := NewBounded(1, 1000, most)
+	for i := range 300 {
+		p := &corev1.Pod{}
+		p.Namespace, p.Name = "default", fmt.Sprint("p", i%10)
+		if i < 200 {
+			p.Annotations = map[string]string{"a": strings.Repeat("x", 200<<10)}
+		}
+		s.Put(Pods, p)
+		if s.Past() > most/int64(resources)+2<<20 {
+			t.Fatalf("after %d changes the history costs %d", i+1, s.Past())
+		}
+		if got, err := s.Since(Pods, s.Rev()-1, 10); err != nil || len(got) != 1 {
+			t.Fatalf("the last change is not kept: %v", err)
+		}
+	}
+	if n, err := s.Since(Pods, s.Rev()-90, 100); err != nil || len(n) != 90 {
+		t.Errorf("small changes are kept again: %d, %v", len(n), err)
+	}
+	sn := s.Snapshot(Pods)
+	for i := range 10 {
+		s.Delete(Pods, "default", fmt.Sprint("p", i))
+	}
+	if s.Live() != 0 {
+		t.Errorf("%d bytes of objects that are gone", s.Live())
+	}
+	s.Keep(0, sn)
+	for i := range 2000 {
+		p := &corev1.Pod{}
+		p.Namespace, p.Name = "default", fmt.Sprint("q", i%10)
+		s.Put(Pods, p)
+	}
+	if _, err := s.Kept(1, Pods, sn.Rev); !errors.Is(err, ErrExpired) || !s.Overtaken(sn) {
+		t.Errorf("a snapshot that the history has passed is kept: %v", err)
+	}
+}
