Streams are flushed as they are told, and those without room are pulled again

With 5,000 watches what all are told in one turn was more than connections may hold: some were cut off, others stood still until the next change. Each is now written out when it has been told, and a stream that found no room is pulled again within 10 ms.

Measured: go test -run xxx -bench FanOut ./internal/scheduler: 1,652, 163,950 and 264,435 events a second to 1, 100 and 5,000 watchers (1,065, 104,895 and 301,550 before the budget).

--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -43,6 +43,7 @@
 	lastID   uint64
 	byID     map[uint64]*conn
 	cutting  bool
+	hungry   bool
 
 	// Requests and BadRequests count for metrics.
 	Requests, BadRequests uint64
@@ -98,6 +99,17 @@
 func (s *Server) Kick() {
 	for c := range s.streams {
 		c.pull()
+		// With thousands of streams, what all are told in one turn would be more than there is room for.
+		c.lc.Flush()
+		c.held()
+	}
+}
+
+// later has streams that found no room pulled again soon.
+func (s *Server) later() {
+	if !s.hungry {
+		s.hungry = true
+		s.l.After(0.01, func() { s.hungry = false; s.Kick() })
 	}
 }
 
@@ -376,6 +388,9 @@
 	for c.lc.Buffered() < c.s.o.HighWater && x.stream != nil && !c.lc.Closed() {
 		room := min(c.s.o.HighWater-c.lc.Buffered(), int(c.s.memory.Room(c.id)))
 		if room <= 0 {
+			if c.lc.Buffered() == 0 {
+				c.s.later()
+			}
 			return
 		}
 		if !c.pullOnce(x, room) {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -149,6 +149,13 @@
 	}
 }
 
+// Flush hands what is queued to the system now rather than at the end of the turn, for who writes much to many.
+func (c *Conn) Flush() {
+	if !c.closed && !c.dialling && !c.blocked && c.Buffered() > 0 {
+		c.flush()
+	}
+}
+
 func (c *Conn) touch() {
 	if !c.dirty && !c.dialling {
 		c.dirty = true
