--- a/cmd/heathshed/badday.go
+++ b/cmd/heathshed/badday.go
@@ -41,7 +41,7 @@
 				}
 			}
 			if seconds > 0 {
-				scaleDay(&d, seconds)
+				d.Stretch(seconds)
 			}
 			if seed > 0 {
 				d.Seed = seed
@@ -88,18 +88,6 @@
 	return out
 }
 
-// scaleDay moves the times of troubles so that the day has the given length. Their lengths stay, but fit the day.
-func scaleDay(d *badday.Script, seconds float64) {
-	k := seconds / d.Seconds
-	for i := range d.Trouble {
-		t := &d.Trouble[i]
-		t.At *= k
-		t.For = min(t.For, seconds/6)
-	}
-	d.Seconds = seconds
-	d.Calm = min(d.Calm, seconds/2)
-}
-
 func playModel(s *settings.Settings, d *badday.Script) (*drill.Result, error) {
 	cfg := model.FromSettings(s, d)
 	cfg.KeepEvents = true
--- a/internal/badday/badday.go
+++ b/internal/badday/badday.go
@@ -140,6 +140,22 @@
 	return s
 }
 
+// leastSpan is how long a trouble lasts at least in a day that is made shorter, if it did before.
+const leastSpan = 2.0 // seconds
+
+// Stretch gives a day another length. All of its troubles stay within the part in which tasks are asked for; what is left at the end for
+// outcomes to come in does not shrink as fast as the rest.
+func (s *Script) Stretch(seconds float64) {
+	calm := min(s.Calm*max(seconds/s.Seconds, 1), max(s.Calm*seconds/s.Seconds, seconds/5))
+	k := (seconds - calm) / max(s.Seconds-s.Calm, 1e-9)
+	for i := range s.Trouble {
+		t := &s.Trouble[i]
+		t.At *= k
+		t.For = min(max(t.For*k, min(t.For, leastSpan)), max(seconds-calm-t.At, 0))
+	}
+	s.Seconds, s.Calm = seconds, calm
+}
+
 // Check says what of a script cannot be used, with the path of the field.
 func (s *Script) Check() (path, msg string) {
 	l := &s.Load
@@ -329,6 +345,8 @@
 // load draws services, and jobs of them as a Poisson process whose rate follows the script. A service has one class, one size,
 // one tenant and one scheduler.
 func (p *planner) load() {
+	// Numbers of its own: the same load with any trouble.
+	p.rng = rand.New(rand.NewPCG(p.s.Seed, 0x6c6f6164))
 	l := &p.s.Load
 	var services []service
 	for i := range l.Services {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -69,6 +69,8 @@
 	steps   int
 	pulled  int
 	Latency []float64 // from a task's creation to its placing, seconds
+	Asked   []float64 // when the task of each Latency was created
+	Created []float64 // when each task was created
 }
 
 type event struct {
@@ -429,6 +431,7 @@
 			uid := p.UID
 			if _, ok := s.asked[uid]; !ok && c.Op == store.Added {
 				s.asked[uid] = s.w.now
+				s.w.Created = append(s.w.Created, s.w.now)
 				if meta.SettledOf(p) == "" {
 					s.w.tap(audit.Event{What: audit.Asked, UID: string(uid), Scheduler: s.cfg.Name, Class: p.Labels[meta.Class],
 						GiveUp: meta.Seconds(p.Annotations[meta.GiveUpAt])})
@@ -441,6 +444,7 @@
 				s.w.tap(audit.Event{What: audit.Settled, UID: string(uid), Scheduler: s.cfg.Name, Reason: r})
 				if r == meta.Placed {
 					s.w.Latency = append(s.w.Latency, s.w.now-s.asked[uid])
+					s.w.Asked = append(s.w.Asked, s.asked[uid])
 				}
 			}
 			if c.Op == store.Deleted {
