--- a/cmd/heathshed/badday.go
+++ b/cmd/heathshed/badday.go
@@ -25,7 +25,7 @@
 	var script, dir string
 	var seconds, drop float64
 	var seed uint64
-	var asJSON, simulated, printScript bool
+	var asJSON, simulated, printScript, hostile bool
 	c := &cobra.Command{Use: "badday", Short: "Play a scripted bad day over sockets and audit the rules from what passed",
 		Long: "Start schedulers, stand-in machines and an inventory as processes on loopback, bring load and trouble by a script, and check\n" +
 			"the five rules from what passed over the sockets. Exit code 3 says that a rule was broken.\n\nKinds of trouble:\n" + kindsText(),
@@ -53,7 +53,7 @@
 			if simulated {
 				r, err = playModel(&s, &d)
 			} else {
-				r, err = playSockets(c, &s, &d, dir, drop)
+				r, err = playSockets(c, &s, &d, dir, drop, hostile)
 			}
 			if err != nil {
 				return err
@@ -73,6 +73,7 @@
 	c.Flags().StringVar(&dir, "dir", "", "folder that keeps settings, taps and logs; a temporary one that is removed if none")
 	c.Flags().Float64Var(&seconds, "seconds", 0, "length of the day; the script's times are stretched to it")
 	c.Flags().Float64Var(&drop, "drop-watch", 7, "seconds between deliberate breaks of the client's watches; 0 is none")
+	c.Flags().BoolVar(&hostile, "hostile", false, "also have clients that send bombs, never read, or never end their requests")
 	c.Flags().Uint64Var(&seed, "seed", 0, "seed in place of the script's")
 	c.Flags().BoolVar(&asJSON, "json", false, "print the result as JSON")
 	c.Flags().BoolVar(&simulated, "simulated", false, "play it in simulated time in place of sockets")
@@ -108,7 +109,7 @@
 	return r, nil
 }
 
-func playSockets(c *cobra.Command, s *settings.Settings, d *badday.Script, dir string, drop float64) (*drill.Result, error) {
+func playSockets(c *cobra.Command, s *settings.Settings, d *badday.Script, dir string, drop float64, hostile bool) (*drill.Result, error) {
 	exe, err := os.Executable()
 	if err != nil {
 		return nil, err
@@ -125,7 +126,7 @@
 	defer cancel()
 	s.LogLevel = "warn"
 	last := time.Now()
-	return drill.Run(ctx, drill.Options{Exe: exe, Dir: dir, Script: *d, Settings: *s, DropWatch: drop, Progress: func(at float64, f drill.Figures) {
+	return drill.Run(ctx, drill.Options{Exe: exe, Dir: dir, Script: *d, Settings: *s, DropWatch: drop, Hostile: hostile, Progress: func(at float64, f drill.Figures) {
 		if time.Since(last) > 10*time.Second {
 			last = time.Now()
 			fmt.Fprintf(c.ErrOrStderr(), "%5.0f s  jobs %d  tasks %d  settled %d  watches broken %d  schedulers killed %d  p50 %.3f s  p99 %.3f s\n",
@@ -142,6 +143,13 @@
 	fmt.Fprintf(w, "offers %d, refused %d, starts %d, machine crashes %d, schedulers killed %d\n", a.Offers, a.Refusals, a.Starts, a.Crashes, f.Kills)
 	fmt.Fprintf(w, "client watches broken %d, lists anew %d, requests tried again %d\n", f.Dropped, f.Relisted, f.Errors)
 	fmt.Fprintf(w, "asked to settled: p50 %.4f s, p99 %.4f s, max %.4f s\n", f.P50, f.P99, f.Max)
+	if h := &f.Hostile; h.MostHeld > 0 {
+		fmt.Fprintf(w, "memory of the schedulers: %d MiB in the second quarter, %d MiB in the last; one had %d MiB at most\n", h.Early, h.Late, h.MostHeld)
+		if h.Silent > 0 {
+			fmt.Fprintf(w, "hostile clients: %d bombs, %d refused, %d taken; %d connections that never read or never ended a request\n", h.Bombs,
+				h.Refused, h.Taken, h.Silent)
+		}
+	}
 	fmt.Fprint(w, "ends:")
 	for _, k := range slices.Sorted(maps.Keys(a.Ends)) {
 		name := k
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -42,6 +42,8 @@
 	Progress func(elapsed float64, r Figures)
 	// DropWatch is the time in seconds between deliberate breaks of the client's own watches; 0 is none.
 	DropWatch float64
+	// Hostile has clients that mean harm beside the ordinary one.
+	Hostile bool
 }
 
 // Figures are what the client saw.
@@ -49,6 +51,7 @@
 	Jobs, JobsLate, Tasks, Settled, Dropped, Relisted, Kills int
 	Errors                                                   int // requests that had to be tried again
 	P50, P99, Max                                            float64
+	Hostile                                                  Hostile
 }
 
 // Result is what came of a drill.
@@ -103,6 +106,14 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); d.watch(ctx, i) }()
 	}
+	if o.Hostile {
+		for i := range o.Script.Schedulers {
+			wg.Add(1)
+			go func() { defer wg.Done(); d.harm(ctx, i) }()
+		}
+	}
+	wg.Add(1)
+	go func() { defer wg.Done(); d.weigh(ctx) }()
 	d.start = time.Now()
 	end := d.start.Add(time.Duration(o.Script.Seconds * float64(time.Second)))
 	progress := time.NewTicker(2 * time.Second)
