An identity that begins like a number is no quantity: tasks that ran were not seen

The check before decoding took identities such as-fce3-... for quantities with a huge exponent, so a Pod that a machine showed could not be read and its task was not counted.

Only a text that is a number to its end is refused now.

--- a/internal/bound/json.go
+++ b/internal/bound/json.go
@@ -159,9 +159,11 @@
 	}
 	for i < len(s) && (s[i] >= '0' && s[i] <= '9' || s[i] == '.') {
 		i++
-		if digits++; l.Digits > 0 && digits > l.Digits {
-			return &Error{"too many digits in a quantity", l.Digits, 0}
-		}
+		digits++
+	}
+	// A unit has three characters at most. What goes on longer is no quantity, such as an identity that begins with digits.
+	if l.Digits > 0 && digits > l.Digits && len(s)-i <= 3 {
+		return &Error{"too many digits in a quantity", l.Digits, 0}
 	}
 	if i == len(s) {
 		return nil
@@ -177,9 +179,11 @@
 	}
 	exp := 0
 	for ; i < len(s) && s[i] >= '0' && s[i] <= '9'; i++ {
-		if exp = min(exp*10+int(s[i]-'0'), 1<<30); l.Exponent > 0 && exp > l.Exponent {
-			return &Error{"exponent too large in a quantity", l.Exponent, 0}
-		}
+		exp = min(exp*10+int(s[i]-'0'), 1<<30)
+	}
+	// Only a text that is a number to its end is one: 144e1135-fce3 is the beginning of an identity.
+	if i == len(s) && l.Exponent > 0 && exp > l.Exponent {
+		return &Error{"exponent too large in a quantity", l.Exponent, 0}
 	}
 	if i < len(s) && s[i] == '\\' {
 		return escaped(s, l)
