--- a/internal/bound/json.go
+++ b/internal/bound/json.go
@@ -5,6 +5,7 @@
 package bound
 
 import (
+	"bytes"
 	"fmt"
 )
 
@@ -150,10 +151,8 @@
 // Quantity checks a text that may be read as a quantity of a resource, such as 1e3 or 500m. What is no number passes: it does no harm.
 // A backslash may hide characters from this look, so a number with one in it is refused.
 func Quantity(s []byte, l Limits) *Error {
+	s = bytes.TrimSpace(s) // as the decoder of quantities does
 	i, digits := 0, 0
-	for i < len(s) && (s[i] == ' ' || s[i] == '\t' || s[i] == '\n' || s[i] == '\r') {
-		i++
-	}
 	if i < len(s) && (s[i] == '+' || s[i] == '-') {
 		i++
 	}
