A gate that is off draws nothing from its budget; doubts are taken back in one place

Measured: TestOffDrawsNothing (without the change the budget ends at -900 in place of 100); engine, gate and model tests pass.

--- a/internal/engine/tasks.go
+++ b/internal/engine/tasks.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	corev1 "k8s.io/api/core/v1"
 	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
@@ -422,14 +423,7 @@
 		Namespace: at.t.namespace, Name: at.t.name, Attempt: at.number})
 }
 
-func (at *attempt) isDoubt() bool {
-	for _, d := range at.t.doubts {
-		if d == at {
-			return true
-		}
-	}
-	return false
-}
+func (at *attempt) isDoubt() bool { return slices.Contains(at.t.doubts, at) }
 
 // StopAnswer is how a machine answered StopTask.
 type StopAnswer struct {
@@ -477,18 +471,20 @@
 	}
 }
 
-// resolved ends a doubt: the attempt never ran, or it is over and may have.
-func (e *Engine) resolved(at *attempt, ran bool) {
-	t := at.t
-	for i, d := range t.doubts {
-		if d == at {
-			t.doubts = append(t.doubts[:i], t.doubts[i+1:]...)
-			delete(at.n.doubts, at)
-			break
-		}
+// undoubt takes an attempt from the doubts of its task and its machine.
+func (e *Engine) undoubt(at *attempt) {
+	if i := slices.Index(at.t.doubts, at); i >= 0 {
+		at.t.doubts = slices.Delete(at.t.doubts, i, i+1)
+		delete(at.n.doubts, at)
 	}
 	e.stopTimer(at.fence)
 	at.fence = nil
+}
+
+// resolved ends a doubt: the attempt never ran, or it is over and may have.
+func (e *Engine) resolved(at *attempt, ran bool) {
+	t := at.t
+	e.undoubt(at)
 	t.mayRan = t.mayRan || ran
 	e.forgetAsk(at.a)
 	if t.phase == waiting && !t.inDoubt() && t.wait != nil && t.effect(e) != placer.Repeatable {
@@ -508,15 +504,7 @@
 		return
 	}
 	// The placer must not send it again: take the ask back, then hand it over as running.
-	for i, d := range t.doubts {
-		if d == at {
-			t.doubts = append(t.doubts[:i], t.doubts[i+1:]...)
-			delete(at.n.doubts, at)
-			break
-		}
-	}
-	e.stopTimer(at.fence)
-	at.fence = nil
+	e.undoubt(at)
 	e.Stats.Adopted++
 	e.withdraw(t)
 	e.adopt(t, at.n, at.number, boot, rev)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -281,7 +281,7 @@
 // Arrive takes an item. One that waits comes out of Next later; its delay says when to come again if it is shed.
 func (g *Gate) Arrive(now float64, it Item) (Verdict, Shedding) {
 	if g.cfg.Off {
-		g.pass(now, it.ID, it.Aim, it.Again)
+		g.pass(now, it.ID, it.Aim, false) // nothing draws on a budget that bounds nothing
 		return Pass, Shedding{}
 	}
 	g.refill(now)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -241,3 +241,21 @@
 		t.Errorf("budget %v in the end, want it full", g.Budget())
 	}
 }
+
+// A gate that is off lets everything pass, and its budget stays as it was.
+func TestOffDrawsNothing(t *testing.T) {
+	c := DefaultConfig()
+	c.Off = true
+	g, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for id := range uint64(1000) {
+		if v, _ := g.Arrive(1, Item{ID: id, Again: true, Deadline: 2, Until: 2, Aim: 1}); v != Pass {
+			t.Fatal("held up by a gate that is off")
+		}
+	}
+	if g.Budget() != c.RetryBurst {
+		t.Errorf("budget %v, want %v", g.Budget(), c.RetryBurst)
+	}
+}
