--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,625 @@
+// Package dispatch is the scheduler's core on the shared platform: set-ups of owners, attempts at machines, tasks that stand, releases owed
+// and the roster, between the messages of the platform and the events and actions of package placer.
+//
+// It has the form of etcd's raft core: a call tells what happened, with the time; effects are left in Ready for the caller to carry out. It
+// is pure: no I/O, clock, goroutine or global. It decides nothing on placing: each event goes to the module, each action comes from it.
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"heathshed/internal/jsonl"
+	"heathshed/internal/simsettings"
+	"heathshed/internal/timers"
+	"heathshed/placer"
+)
+
+// Times in seconds that the protocol gives or leaves open.
+const (
+	owedFor   = 8.0 // a release that found no connection of an owner is owed for so long
+	goneGrace = 1.0 // after the bulletin's word that a machine has gone its tasks are taken for lost
+	bootSlack = 1.0 // clocks and lists are rough: a task bound this near a machine's start is of its new life
+	lateFor   = 5.0 // beyond the time that owners look for a task, an attempt given up is remembered
+	maxLeft   = 600.0
+)
+
+const (
+	causeLost = jsonl.CauseReset
+	maxTasks  = 20000 // set-ups and standing tasks held at a time; each takes about 2 KB
+)
+
+// Decider is the module, or what stands for it in a test.
+type Decider interface {
+	Handle(now float64, ev placer.Event, actions []placer.Action) []placer.Action
+}
+
+// ConnID numbers a connection of owners. 0 is none.
+type ConnID uint64
+
+// EffectKind says what the caller is to do.
+type EffectKind uint8
+
+// The effects. Tell: send Message on connection Conn. Hang: close connection Conn once all has been sent. Send: offer Offer to its machine,
+// see MayStart. Release: send Message to the machine of Offer, on the connection that Offer went out on where that is open, else on any.
+// Roster: machines or their addresses may have changed.
+const (
+	Tell EffectKind = iota + 1
+	Hang
+	Send
+	Release
+	Roster
+)
+
+// Effect is something to be carried out, in order.
+type Effect struct {
+	Kind    EffectKind
+	Conn    ConnID
+	Offer   *Offer
+	Message jsonl.Message
+	// TimedOut, at a Release, says that no answer came in time: the connection it went out on may be of no further use.
+	TimedOut bool
+}
+
+type offerState uint8
+
+const (
+	waiting offerState = iota // not sent
+	out                       // sent, no word yet
+	bound                     // stands
+	givenUp                   // what its machine still says is late
+	ended
+)
+
+// Offer is one attempt of a task at a machine.
+type Offer struct {
+	Node    placer.NodeID
+	Message jsonl.Message
+	// Line is the caller's: the connection it went out on.
+	Line any
+
+	t       *task
+	attempt int
+	state   offerState
+	until   float64
+	sent    float64 // when the module offered it
+	bound   float64 // when its answer came
+	timer   *timers.Timer
+	ending  bool // a release was sent: moved, or ended by its owner
+}
+
+// Live says whether the offer still waits for an answer or stands.
+func (o *Offer) Live() bool { return o.state <= bound }
+
+// Open says whether the offer waits for its connection or its answer.
+func (o *Offer) Open() bool { return o.state <= out }
+
+// task is one set-up.
+type task struct {
+	id       placer.TaskID
+	m        jsonl.Message // as the owner sent it
+	conn     ConnID
+	class    int
+	deadline float64
+	offers   []*Offer
+	over     bool // answered, withdrawn or at its end: nothing more goes to the owner
+	gone     bool // its owner gave it up
+}
+
+type place struct {
+	node placer.NodeID
+	id   jsonl.ID
+}
+
+type owner struct {
+	open  map[*task]struct{}
+	good  float64 // when a set-up of it last came to stand
+	heard float64 // when a message of it last made sense
+}
+
+type owed struct {
+	m     jsonl.Message
+	until float64
+}
+
+// Counts are what happened since the start.
+type Counts struct {
+	SetUps, Taken, Answered, Refused, Failed, Withdrawn                            uint64
+	Offers, Bound, Full, Errors, Unreachable, Broken, TimedOut, Moot, Late, Unheld uint64
+	Ends, Moves, Lost, Owed, OwedLost, Bad                                         uint64
+}
+
+// Core holds the state. It is for one goroutine.
+type Core struct {
+	Counts Counts
+
+	s         *simsettings.Settings
+	p         Decider
+	now       float64
+	timers    timers.Queue
+	nodes     map[placer.NodeID]*Node
+	tasks     map[placer.TaskID]*task
+	open      int
+	byID      map[jsonl.ID]*task // open and standing
+	places    map[place]*Offer   // all that a machine may still speak of
+	owners    map[ConnID]*owner
+	owed      []owed
+	next      placer.TaskID
+	last      uint64
+	streaming bool
+	asked     bool
+	queue     []placer.Event
+	running   bool
+	actions   []placer.Action
+	out       []Effect
+}
+
+// New makes a core, with the events of the bulletin that the configuration knows.
+func New(now float64, s *simsettings.Settings, p Decider, knownEvents []byte) (*Core, error) {
+	c := &Core{s: s, p: p, now: now, nodes: map[placer.NodeID]*Node{}, tasks: map[placer.TaskID]*task{}, byID: map[jsonl.ID]*task{},
+		places: map[place]*Offer{}, owners: map[ConnID]*owner{}}
+	var k known
+	if len(knownEvents) > 0 {
+		if err := json.Unmarshal(knownEvents, &k); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	for i, item := range k.Items {
+		ev, _, err := c.apply(item)
+		if err != nil {
+			return nil, fmt.Errorf("known: items[%d]: %w", i, err)
+		}
+		c.last = max(c.last, ev.No)
+	}
+	c.last = max(c.last, k.No)
+	c.post(placer.Event{Kind: placer.Listed, List: placer.CachedList, Nodes: c.list()})
+	c.run()
+	return c, nil
+}
+
+// list is the roster in order of the numbers.
+func (c *Core) list() []placer.Node {
+	var all []placer.Node
+	for _, n := range c.nodes {
+		all = append(all, n.entry)
+	}
+	slices.SortFunc(all, func(a, b placer.Node) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Ready hands out the effects since the last call. The slice is the caller's until then.
+func (c *Core) Ready() []Effect {
+	o := c.out
+	c.out = nil
+	return o
+}
+
+// Node returns a machine, nil if the bulletin never told of it.
+func (c *Core) Node(id placer.NodeID) *Node { return c.nodes[id] }
+
+// Nodes calls f for each machine, in no order.
+func (c *Core) Nodes(f func(*Node)) {
+	for _, n := range c.nodes {
+		f(n)
+	}
+}
+
+// Open is the number of set-ups without an answer.
+func (c *Core) Open() int { return c.open }
+
+// Standing is the number of tasks that stand.
+func (c *Core) Standing() int {
+	n := 0
+	for _, x := range c.nodes {
+		n += len(x.standing)
+	}
+	return n
+}
+
+// Due is when Advance is to be called next, infinity if never.
+func (c *Core) Due() float64 { return c.timers.Next() }
+
+// Advance carries out what is due.
+func (c *Core) Advance(now float64) {
+	c.tick(now)
+	for t := c.timers.Pop(c.now); t != nil; t = c.timers.Pop(c.now) {
+		t.Run()
+		c.run()
+	}
+}
+
+func (c *Core) tick(now float64) { c.now = max(c.now, now) }
+
+// post queues an event for the module.
+func (c *Core) post(ev placer.Event) { c.queue = append(c.queue, ev) }
+
+// run hands queued events over, one after another: the actions of one are carried out before the next is told.
+func (c *Core) run() {
+	if c.running {
+		return
+	}
+	c.running = true
+	for len(c.queue) > 0 {
+		ev := c.queue[0]
+		c.queue = c.queue[1:]
+		c.actions = c.p.Handle(c.now, ev, c.actions[:0])
+		for i := range c.actions {
+			c.act(&c.actions[i])
+		}
+	}
+	c.queue = nil
+	c.running = false
+}
+
+func (c *Core) act(a *placer.Action) {
+	switch a.Kind {
+	case placer.Wake:
+		token := a.Token
+		c.timers.Add(c.now+a.After, func() { c.post(placer.Event{Kind: placer.Woken, Token: token}) })
+		return
+	case placer.Watch, placer.Fetch:
+		if c.asked = !c.streaming; c.streaming {
+			c.post(placer.Event{Kind: placer.Listed, List: placer.Changes})
+		}
+		return
+	}
+	t := c.tasks[a.Task]
+	if t == nil {
+		return
+	}
+	switch a.Kind {
+	case placer.Offer:
+		c.offer(t, a)
+	case placer.Refuse:
+		m := reply(t, jsonl.Stop, jsonl.CauseFull)
+		if a.After > 0 && c.s.Placer.MayDelayOwners {
+			m.Set(jsonl.Wait, strconv.Itoa(int(math.Ceil(min(a.After, c.s.Placer.MaxDelay)*1000))))
+		}
+		c.Counts.Refused++
+		c.answer(t, m)
+	case placer.Fail:
+		c.Counts.Failed++
+		c.answer(t, reply(t, jsonl.Stop, jsonl.CauseError))
+	case placer.Move:
+		if o := t.standing(); o != nil && !t.over {
+			c.Counts.Moves++
+			t.over = true
+			c.toOwner(t, reply(t, jsonl.Migrate, -1))
+			c.release(o, jsonl.CauseCancelled, false)
+		}
+	}
+}
+
+// reply is a message about a set-up; a cause below 0 is none.
+func reply(t *task, k jsonl.Kind, cause int) jsonl.Message {
+	return jsonl.Message{Kind: k, UID: t.m.UID, ID: t.m.ID, Reason: max(cause, 0), HasReason: cause >= 0}
+}
+
+func (t *task) standing() *Offer {
+	if n := len(t.offers); n > 0 && t.offers[n-1].state == bound {
+		return t.offers[n-1]
+	}
+	return nil
+}
+
+// ---- owners ----
+
+// OwnerOpened adds a connection of owners, or of who poses as one.
+func (c *Core) OwnerOpened(now float64, id ConnID) {
+	c.tick(now)
+	c.owners[id] = &owner{open: map[*task]struct{}{}}
+}
+
+// OwnerClosed takes a connection away. Nobody can be answered on it any more: its open set-ups are given up, as if they had been withdrawn.
+func (c *Core) OwnerClosed(now float64, id ConnID) {
+	c.tick(now)
+	ow := c.owners[id]
+	if ow == nil {
+		return
+	}
+	delete(c.owners, id)
+	for _, t := range sorted(ow.open) {
+		c.withdraw(t)
+	}
+	c.run()
+}
+
+func sorted(set map[*task]struct{}) []*task {
+	all := make([]*task, 0, len(set))
+	for t := range set {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *task) int { return int(a.id) - int(b.id) })
+	return all
+}
+
+// OwnerOpen is how many set-ups are open on a connection; good says whether one of it ever came to stand.
+func (c *Core) OwnerOpen(id ConnID) (open int, good bool) {
+	if ow := c.owners[id]; ow != nil {
+		return len(ow.open), ow.good > 0
+	}
+	return 0, false
+}
+
+// FromOwner takes one message of an owner. An error says what makes no sense about it; where the message had an id, its sender has been
+// answered.
+func (c *Core) FromOwner(now float64, id ConnID, m *jsonl.Message) error {
+	c.tick(now)
+	ow := c.owners[id]
+	if ow == nil {
+		return fmt.Errorf("connection %d is not open", id)
+	}
+	err := c.fromOwner(id, ow, m)
+	if err != nil {
+		c.Counts.Bad++
+		c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: jsonl.Message{Kind: jsonl.Stop, UID: m.UID, ID: m.ID,
+			Reason: jsonl.CauseError, HasReason: true}})
+	} else {
+		ow.heard = c.now
+		c.settle(id)
+	}
+	c.run()
+	return err
+}
+
+func (c *Core) fromOwner(id ConnID, ow *owner, m *jsonl.Message) error {
+	switch m.Kind {
+	case jsonl.Check:
+		c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: jsonl.Message{Kind: jsonl.Checked, UID: m.UID, ID: m.ID, Reason: 1,
+			HasReason: true}})
+	case jsonl.Launch:
+		return c.setUp(id, ow, m)
+	case jsonl.Stop:
+		t := c.byID[m.ID]
+		if t == nil {
+			return nil // crossed our answer
+		}
+		if o := t.standing(); o != nil {
+			if !t.over {
+				t.over = true
+				cause := m.Reason
+				if !m.HasReason {
+					cause = jsonl.CauseCancelled
+				}
+				c.release(o, cause, false)
+			}
+		} else if t.conn == id {
+			c.withdraw(t)
+		} else {
+			return fmt.Errorf("stop: set-up %s is open on another connection", m.UID)
+		}
+	}
+	return nil
+}
+
+func (c *Core) setUp(id ConnID, ow *owner, m *jsonl.Message) error {
+	c.Counts.SetUps++
+	task, at, err := c.read(m)
+	if t := c.byID[m.ID]; t != nil {
+		if err == nil && at != "" {
+			return nil // named already
+		}
+		// Two set-ups under one id cannot both be told of their end. Those that share a connection end together.
+		if t.conn == id && !t.over && t.standing() == nil {
+			c.withdraw(t)
+		}
+		return fmt.Errorf("launch: id %s is in use", m.UID)
+	}
+	if err != nil {
+		return fmt.Errorf("launch %s: %w", m.UID, err)
+	}
+	if len(c.byID) >= maxTasks {
+		c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: jsonl.Message{Kind: jsonl.Stop, UID: m.UID, ID: m.ID,
+			Reason: jsonl.CauseBusy, HasReason: true}})
+		return nil
+	}
+	if at != "" {
+		return c.holds(id, ow, m, task, at)
+	}
+	t := c.add(id, m, task)
+	c.open++
+	c.Counts.Taken++
+	ow.open[t] = struct{}{}
+	c.post(placer.Event{Kind: placer.Arrived, ID: t.id, Task: task2(task, t)})
+	return nil
+}
+
+func task2(x placer.Task, t *task) placer.Task {
+	x.ID = t.id
+	return x
+}
+
+func (c *Core) add(id ConnID, m *jsonl.Message, x placer.Task) *task {
+	c.next++
+	t := &task{id: c.next, m: *m, conn: id, class: x.Class, deadline: x.Deadline}
+	c.tasks[t.id] = t
+	c.byID[m.ID] = t
+	return t
+}
+
+// holds takes over a task that a machine holds already.
+func (c *Core) holds(id ConnID, ow *owner, m *jsonl.Message, x placer.Task, at string) error {
+	nid := nodeNumber(at)
+	for c.nodes[nid] != nil && c.nodes[nid].UID != at {
+		nid++
+	}
+	n := c.nodes[nid]
+	if n == nil {
+		return fmt.Errorf("launch %s: extras: at: %.40q is not in the bulletin", m.UID, at)
+	}
+	if old := c.places[place{nid, m.ID}]; old != nil {
+		c.forget(old) // an attempt given up that was accepted after all
+	}
+	t := c.add(id, m, x)
+	ow.good = c.now
+	o := &Offer{Node: nid, Message: t.toNode(), t: t, state: bound, sent: c.now, bound: c.now}
+	t.offers = append(t.offers, o)
+	c.places[place{nid, m.ID}] = o
+	n.standing[o] = struct{}{}
+	c.post(placer.Event{Kind: placer.Running, ID: t.id, Task: task2(x, t), Node: nid})
+	c.out = append(c.out, Effect{Kind: Roster})
+	if n.State == placer.Gone {
+		c.goneSoon(n)
+	}
+	return nil
+}
+
+// read checks a set-up and says what the module is to know of it. at is the machine that holds it already, "" if none.
+func (c *Core) read(m *jsonl.Message) (x placer.Task, at string, err error) {
+	if m.Body == "" {
+		return x, "", fmt.Errorf("no body")
+	}
+	if x.Class = slices.Index(c.s.Classes, m.Get(jsonl.Class)); x.Class < 0 {
+		return x, "", fmt.Errorf("class %.40q is not known", m.Get(jsonl.Class))
+	}
+	if name := m.Get(jsonl.Tenant); name != "" || len(c.s.Tenants) > 0 {
+		if x.Tenant = slices.Index(c.s.Tenants, name); x.Tenant < 0 {
+			return x, "", fmt.Errorf("tenant %.40q is not known", name)
+		}
+	}
+	if _, err := jsonl.ParseID(m.Get(jsonl.Key)); err != nil {
+		return x, "", fmt.Errorf("key: %w", err)
+	}
+	left, err := strconv.ParseFloat(m.Get(jsonl.Left), 64)
+	if err != nil || !(left >= 0) || left > maxLeft*1000 {
+		return x, "", fmt.Errorf("left %.40q: want 0 to %g ms", m.Get(jsonl.Left), maxLeft*1000)
+	}
+	x.Deadline = c.now + left/1000
+	seen := 0
+	for part := range strings.SplitSeq(m.Get(jsonl.Extras), ";") {
+		name, value, _ := strings.Cut(part, ":")
+		switch name {
+		case "cores", "memory":
+			v, err := strconv.ParseFloat(value, 64)
+			if err != nil || !(v >= 0) || v > 1e9 {
+				return x, "", fmt.Errorf("extras: %s %.40q: want a number from 0 to 1e9", name, value)
+			}
+			if seen++; name == "cores" {
+				x.Cores = v
+			} else {
+				x.Memory = v
+			}
+		case "service":
+			id, err := jsonl.ParseID(value)
+			if err != nil {
+				return x, "", fmt.Errorf("extras: service: %w", err)
+			}
+			x.Service = placer.ServiceID(id)
+		case "at":
+			if at = value; at == "" {
+				return x, "", fmt.Errorf("extras: at names no machine")
+			}
+		}
+	}
+	if seen != 2 {
+		return x, "", fmt.Errorf("extras %.60q: want cores and memory once each", m.Get(jsonl.Extras))
+	}
+	return x, at, nil
+}
+
+// toNode is the set-up as a machine gets it: id, class, key and description as they came.
+func (t *task) toNode() jsonl.Message {
+	m := jsonl.Message{Kind: jsonl.Launch, UID: t.m.UID, ID: t.m.ID, Body: t.m.Body}
+	m.Set(jsonl.Class, t.m.Get(jsonl.Class))
+	m.Set(jsonl.Key, t.m.Get(jsonl.Key))
+	return m
+}
+
+// answer gives the final answer to a set-up that does not stand.
+func (c *Core) answer(t *task, m jsonl.Message) {
+	if t.over {
+		return
+	}
+	c.close(t)
+	if c.owners[t.conn] != nil {
+		c.out = append(c.out, Effect{Kind: Tell, Conn: t.conn, Message: m})
+	}
+	c.abandon(t, placer.TimedOut)
+	c.drop(t)
+}
+
+// withdraw ends an open set-up whose owner waits no longer.
+func (c *Core) withdraw(t *task) {
+	if t.over {
+		return
+	}
+	c.Counts.Withdrawn++
+	t.gone = true
+	c.close(t)
+	c.post(placer.Event{Kind: placer.Withdrawn, ID: t.id})
+	c.abandon(t, placer.Cancelled)
+	c.drop(t)
+}
+
+// close takes an open set-up out of the open ones.
+func (c *Core) close(t *task) {
+	t.over = true
+	c.open--
+	if ow := c.owners[t.conn]; ow != nil {
+		delete(ow.open, t)
+	}
+}
+
+// drop forgets a set-up that is over. What machines still say of its attempts finds them by their place.
+func (c *Core) drop(t *task) {
+	if c.byID[t.m.ID] == t {
+		delete(c.byID, t.m.ID)
+	}
+	delete(c.tasks, t.id)
+}
+
+// abandon gives up the attempt that is out.
+func (c *Core) abandon(t *task, as placer.Result) {
+	if n := len(t.offers); n > 0 && t.offers[n-1].Open() {
+		c.giveUp(t.offers[n-1], as, false)
+	}
+}
+
+// toOwner sends what is owed for a task that stood: on its own connection, else on one that owners of standing tasks use, the latest first,
+// else on the next one that opens.
+func (c *Core) toOwner(t *task, m jsonl.Message) {
+	if id := c.anyOwner(t.conn); id != 0 {
+		c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: m})
+		return
+	}
+	c.Counts.Owed++
+	c.owed = append(c.owed, owed{m, c.now + owedFor})
+}
+
+func (c *Core) anyOwner(first ConnID) ConnID {
+	if c.owners[first] != nil {
+		return first
+	}
+	var best ConnID
+	var b *owner
+	for id, ow := range c.owners {
+		if ow.heard <= 0 {
+			continue // said nothing that makes sense
+		}
+		if b == nil || ow.good > b.good || ow.good == b.good && (ow.heard > b.heard || ow.heard == b.heard && id > best) {
+			best, b = id, ow
+		}
+	}
+	return best
+}
+
+// settle sends what is owed on a connection that has shown itself to be an owner's.
+func (c *Core) settle(id ConnID) {
+	for _, o := range c.owed {
+		if o.until < c.now {
+			c.Counts.OwedLost++
+			continue
+		}
+		c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: o.m})
+	}
+	c.owed = nil
+}
--- /dev/null
+++ b/internal/dispatch/offers.go
@@ -0,0 +1,299 @@
+package dispatch
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"heathshed/internal/jsonl"
+	"heathshed/internal/simsettings"
+	"heathshed/placer"
+)
+
+// offer begins an attempt.
+func (c *Core) offer(t *task, a *placer.Action) {
+	o := &Offer{Node: a.Node, Message: t.toNode(), t: t, attempt: len(t.offers), until: a.Until, sent: c.now}
+	if a.Until <= 0 || a.Until > t.deadline {
+		o.until = t.deadline
+	}
+	t.offers = append(t.offers, o)
+	c.Counts.Offers++
+	if t.over || o.until <= c.now || len(t.offers) > c.s.Placer.MaxAttempts || c.nodes[a.Node] == nil {
+		o.state = givenUp
+		c.done(o, placer.Moot, placer.NoReason, nil)
+		return
+	}
+	c.places[place{o.Node, t.m.ID}] = o
+	o.timer = c.timers.Add(o.until, func() {
+		if o.state == waiting {
+			// Its connection did not come up in time: it never left.
+			c.unsent(o, placer.Unreachable)
+			return
+		}
+		c.giveUp(o, placer.TimedOut, true)
+	})
+	c.out = append(c.out, Effect{Kind: Send, Offer: o})
+}
+
+// MayStart looks at an offer again before its first byte goes out, and fills in how long it may take. Where it says false the offer must not
+// be sent, and nothing more is to be told of it.
+func (c *Core) MayStart(now float64, o *Offer) bool {
+	c.tick(now)
+	if o.state != waiting {
+		return false
+	}
+	n := c.nodes[o.Node]
+	if n == nil || n.State != placer.Ready || o.until <= c.now {
+		c.unsent(o, placer.Moot)
+		c.run()
+		return false
+	}
+	o.Message.Set(jsonl.Left, strconv.Itoa(max(int((o.until-c.now)*1000), 1)))
+	o.state = out
+	return true
+}
+
+// Unreachable tells that no connection came up for an offer, so that it was never sent.
+func (c *Core) Unreachable(now float64, o *Offer) {
+	c.tick(now)
+	if o.state == waiting {
+		c.Counts.Unreachable++
+		c.unsent(o, placer.Unreachable)
+		c.run()
+	}
+}
+
+// Broken tells that the connection ended on which an offer was sent. It proves nothing.
+func (c *Core) Broken(now float64, o *Offer) {
+	c.tick(now)
+	if o.state == out {
+		c.Counts.Broken++
+		o.state = givenUp // closing gave it up
+		c.linger(o)
+		c.done(o, placer.Lost, placer.NoReason, nil)
+		c.run()
+	}
+}
+
+// unsent ends an offer that never left.
+func (c *Core) unsent(o *Offer, as placer.Result) {
+	c.forget(o)
+	if as == placer.Moot {
+		c.Counts.Moot++
+	}
+	c.done(o, as, placer.NoReason, nil)
+}
+
+// giveUp ends an offer that was not answered. Its machine is told, and what it says afterwards is late.
+func (c *Core) giveUp(o *Offer, as placer.Result, timedOut bool) {
+	if o.state == waiting {
+		c.unsent(o, placer.Moot)
+		return
+	}
+	if timedOut {
+		c.Counts.TimedOut++
+	}
+	o.state = givenUp
+	c.linger(o)
+	c.release(o, jsonl.CauseEnd, timedOut)
+	c.done(o, as, placer.NoReason, nil)
+}
+
+// linger remembers an attempt that was given up for as long as its machine may speak of it.
+func (c *Core) linger(o *Offer) {
+	c.timers.Stop(o.timer)
+	o.timer = c.timers.Add(c.now+c.s.Placer.SettleAfter+lateFor, func() { c.forget(o) })
+}
+
+// forget takes an offer out of all that machines may speak of.
+func (c *Core) forget(o *Offer) {
+	c.timers.Stop(o.timer)
+	if k := (place{o.Node, o.t.m.ID}); c.places[k] == o {
+		delete(c.places, k)
+	}
+	if n := c.nodes[o.Node]; n != nil {
+		delete(n.standing, o)
+	}
+	o.state = ended
+}
+
+// done tells the module how an attempt ended.
+func (c *Core) done(o *Offer, as placer.Result, why placer.Reason, r *placer.Report) {
+	c.post(placer.Event{Kind: placer.Ended, ID: o.t.id, Attempt: o.attempt, Node: o.Node, Result: as, Reason: why,
+		Elapsed: c.now - o.sent, Over: o.t.over, Report: r})
+}
+
+// release tells a machine that a task is given up, or is to end. Of one that stood the machine's word is waited for, but not for good.
+func (c *Core) release(o *Offer, cause int, timedOut bool) {
+	if o.state == bound && !o.ending {
+		o.timer = c.timers.Add(c.now+owedFor, func() { c.end(o, placer.Cancelled, placer.NoReason, nil, jsonl.CauseCancelled) })
+	}
+	o.ending = true
+	c.out = append(c.out, Effect{Kind: Release, Offer: o, TimedOut: timedOut, Message: reply(o.t, jsonl.Stop, cause)})
+}
+
+// FromNode takes one message of a machine. What concerns nothing that is known there changes nothing.
+func (c *Core) FromNode(now float64, node placer.NodeID, m *jsonl.Message) {
+	c.tick(now)
+	o := c.places[place{node, m.ID}]
+	if o == nil || o.state == waiting {
+		if m.Kind == jsonl.Running || m.Kind == jsonl.Stop {
+			c.Counts.Unheld++
+		}
+		return
+	}
+	switch m.Kind {
+	case jsonl.Running:
+		c.accepted(o, m)
+	case jsonl.Stop:
+		c.stopped(o, m)
+	case jsonl.Update:
+		if use := slices.Index(uses[:], m.Get(jsonl.Note)); use > 0 && o.state == bound && !o.t.over {
+			v, _ := strconv.ParseFloat(m.Get(jsonl.Value), 64)
+			c.post(placer.Event{Kind: placer.Noted, ID: o.t.id, Attempt: o.attempt, Node: node, Use: placer.UseKind(use), Value: v})
+		}
+	}
+	c.run()
+}
+
+var uses = [...]string{"", "up", "cpu", "mem", "share", "tight"}
+
+var reasons = [...]string{"", "cpu_full", "mem_full", "busy", "wrong_host", "oom", "preempted", "drained"}
+
+func (c *Core) accepted(o *Offer, m *jsonl.Message) {
+	t := o.t
+	if o.state == out && c.now > t.deadline+c.s.Placer.AnswerSlack {
+		c.giveUp(o, placer.TimedOut, false) // its timer is late, the owner waits no longer
+	}
+	switch o.state {
+	case out:
+		if m.Body == "" {
+			return // not an answer that could be passed on
+		}
+		c.timers.Stop(o.timer)
+		o.state, o.bound = bound, c.now
+		c.Counts.Bound++
+		c.Counts.Answered++
+		c.open--
+		if ow := c.owners[t.conn]; ow != nil {
+			delete(ow.open, t)
+			ow.good = c.now
+		}
+		if n := c.nodes[o.Node]; n != nil {
+			n.standing[o] = struct{}{}
+		}
+		a := reply(t, jsonl.Running, -1)
+		a.Body = m.Body
+		c.out = append(c.out, Effect{Kind: Tell, Conn: t.conn, Message: a})
+		c.post(placer.Event{Kind: placer.Bound, ID: t.id, Attempt: o.attempt, Node: o.Node, Elapsed: c.now - o.sent})
+	case givenUp:
+		c.Counts.Late++
+		// A copy of a task that may run twice, or one whose owner has gone, holds room for nobody: it is released at once. Of the others
+		// the owner asks the machines after a while, and names the scheduler that is to look after what they hold: cutting it meanwhile
+		// would undo a start that must not be made again.
+		if t.gone || c.s.Placer.Classes[t.class].Effect == placer.Repeatable {
+			c.release(o, jsonl.CauseEnd, false)
+		}
+	}
+}
+
+func (c *Core) stopped(o *Offer, m *jsonl.Message) {
+	why := placer.Reason(max(slices.Index(reasons[:], m.Get(jsonl.Note)), 0))
+	r := c.report(m)
+	switch o.state {
+	case out:
+		c.forget(o)
+		switch m.Reason {
+		case jsonl.CauseFull:
+			c.Counts.Full++
+			c.done(o, placer.Refused, why, r)
+		case jsonl.CauseError:
+			c.Counts.Errors++
+			c.done(o, placer.Errored, why, r)
+		case jsonl.CauseMoot:
+			c.Counts.Moot++
+			c.done(o, placer.Moot, why, r)
+		default:
+			c.Counts.Broken++
+			c.done(o, placer.Lost, why, r)
+		}
+	case bound:
+		switch m.Reason {
+		case jsonl.CauseEnd:
+			c.end(o, placer.Finished, why, r, m.Reason)
+		case jsonl.CauseCancelled:
+			c.end(o, placer.Cancelled, why, r, m.Reason)
+		default:
+			c.end(o, placer.Lost, why, r, m.Reason)
+		}
+	case givenUp:
+		c.forget(o)
+	}
+}
+
+// end closes a task that stood. Its owner is told, but for one that ended it itself or was told of a move.
+func (c *Core) end(o *Offer, as placer.Result, why placer.Reason, r *placer.Report, cause int) {
+	t := o.t
+	c.forget(o)
+	c.Counts.Ends++
+	if as == placer.Lost {
+		c.Counts.Lost++
+	}
+	if !t.over {
+		t.over = true
+		c.toOwner(t, reply(t, jsonl.Stop, cause))
+	}
+	c.done(o, as, why, r)
+	c.drop(t)
+}
+
+// report reads a load report, nil if none came.
+func (c *Core) report(m *jsonl.Message) *placer.Report {
+	text := m.Get(jsonl.Load)
+	if text == "" {
+		return nil
+	}
+	r := simsettings.NoReport()
+	some := false
+	for part := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(part, ":")
+		if v, err := strconv.ParseFloat(value, 64); err == nil && slices.Contains(c.s.ReportFields, name) {
+			simsettings.Tell(&r, name, v)
+			some = true
+		}
+	}
+	if !some {
+		return nil
+	}
+	return &r
+}
+
+// goneSoon takes what stands at a machine that has gone for lost, once it has stayed away for a moment: its own word of its tasks comes by
+// its connections and says more than the list's.
+func (c *Core) goneSoon(n *Node) {
+	if len(n.standing) == 0 {
+		return
+	}
+	at := n.toldAt
+	c.timers.Add(max(c.now, at+goneGrace), func() {
+		if n.State == placer.Gone && n.toldAt == at {
+			c.NodeLost(c.now, n.ID)
+		}
+	})
+}
+
+// NodeLost ends all that stands at a machine.
+func (c *Core) NodeLost(now float64, id placer.NodeID) {
+	c.tick(now)
+	if n := c.nodes[id]; n != nil {
+		all := make([]*Offer, 0, len(n.standing))
+		for o := range n.standing {
+			all = append(all, o)
+		}
+		slices.SortFunc(all, func(a, b *Offer) int { return int(a.t.id) - int(b.t.id) })
+		for _, o := range all {
+			c.end(o, placer.Lost, placer.NoReason, nil, causeLost)
+		}
+	}
+	c.run()
+}
--- /dev/null
+++ b/internal/dispatch/roster.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heathshed/placer"
+)
+
+// bulletinEvent is one event of the bulletin.
+type bulletinEvent struct {
+	No     uint64 `json:"no"`
+	Roster *struct {
+		Rev     uint64  `json:"rev"`
+		All     bool    `json:"all"`
+		Targets []entry `json:"targets"`
+	} `json:"roster"`
+}
+
+type entry struct {
+	UID      string     `json:"uid"`
+	Endpoint string     `json:"endpoint"`
+	Zone     string     `json:"az"`
+	Kind     string     `json:"model"`
+	Rack     int        `json:"pod_group"`
+	State    string     `json:"state"`
+	BootMS   float64    `json:"boot_ms"`
+	Open     [2]float64 `json:"open"`
+}
+
+// known is the configuration's list of the events before the start.
+type known struct {
+	No    uint64            `json:"no"`
+	Items []json.RawMessage `json:"items"`
+}
+
+// Node is what the bulletin told of one machine.
+type Node struct {
+	ID    placer.NodeID
+	UID   string
+	Addr  string
+	State placer.NodeState
+	Boot  float64 // Unix seconds of a late start, 0 for long ago
+
+	entry    placer.Node
+	standing map[*Offer]struct{}
+	toldAt   float64 // when its state last changed
+}
+
+// Standing is the number of tasks that stand at the machine.
+func (n *Node) Standing() int { return len(n.standing) }
+
+// nodeNumber is the module's number for a machine: the same at every scheduler, since all of them sort and draw by it. It has 48 bits, as
+// many as an address on the simulator's wire.
+func nodeNumber(uid string) placer.NodeID {
+	return placer.NodeID(xxhash.Sum64String(uid) & (1<<48 - 1))
+}
+
+// apply enters one event of the bulletin and returns the entries that changed, and whether it held the whole list. An event that was had
+// already, or that cannot be read, changes nothing.
+func (c *Core) apply(data []byte) (ev bulletinEvent, changed []placer.Node, err error) {
+	if err := json.Unmarshal(data, &ev); err != nil {
+		return ev, nil, fmt.Errorf("bulletin event: %w", err)
+	}
+	r := ev.Roster
+	if r == nil {
+		return ev, nil, nil
+	}
+	for i := range r.Targets {
+		if e := &r.Targets[i]; e.UID == "" || state(e.State) < 0 {
+			return ev, nil, fmt.Errorf("bulletin event %d: target %d: uid %q, state %q", ev.No, i, e.UID, e.State)
+		}
+	}
+	listed := map[placer.NodeID]bool{}
+	for i := range r.Targets {
+		e := &r.Targets[i]
+		id := nodeNumber(e.UID)
+		for c.nodes[id] != nil && c.nodes[id].UID != e.UID {
+			id++ // two names with one number
+		}
+		n := c.nodes[id]
+		if n == nil {
+			n = &Node{ID: id, UID: e.UID, State: placer.Gone, standing: map[*Offer]struct{}{}}
+			c.nodes[id] = n
+		}
+		listed[id] = true
+		was := n.State
+		n.Addr, n.State, n.Boot = e.Endpoint, placer.NodeState(state(e.State)), e.BootMS/1000
+		if was != n.State {
+			n.toldAt = c.now
+		}
+		n.entry = placer.Node{ID: id, Zone: slices.Index(c.s.Zones, e.Zone), Rack: e.Rack, Kind: slices.Index(c.s.Kinds, e.Kind),
+			State: n.State, FreeCores: e.Open[0], FreeMemory: e.Open[1], Since: n.Boot}
+		changed = append(changed, n.entry)
+	}
+	if r.All {
+		for id, n := range c.nodes {
+			if !listed[id] && n.State != placer.Gone {
+				n.State, n.entry.State, n.toldAt = placer.Gone, placer.Gone, c.now
+			}
+		}
+	}
+	return ev, changed, nil
+}
+
+func state(s string) int {
+	switch s {
+	case "in_service":
+		return int(placer.Ready)
+	case "terminating":
+		return int(placer.Draining)
+	case "terminated":
+		return int(placer.Gone)
+	}
+	return -1
+}
+
+// Bulletin takes one event of the bulletin. ok says that the numbers had no gap; where they had, the event was not entered and the stream
+// is to be asked again from Last on.
+func (c *Core) Bulletin(now float64, data []byte) (ok bool, err error) {
+	c.tick(now)
+	var head struct {
+		No uint64 `json:"no"`
+	}
+	if err := json.Unmarshal(data, &head); err != nil {
+		return false, fmt.Errorf("bulletin event: %w", err)
+	}
+	switch {
+	case head.No <= c.last:
+		return true, nil // had already
+	case head.No > c.last+1:
+		return false, nil
+	}
+	ev, changed, err := c.apply(data)
+	if err != nil {
+		return false, err
+	}
+	c.last = head.No
+	if ev.Roster == nil {
+		return true, nil
+	}
+	kind := placer.Changes
+	if ev.Roster.All {
+		kind = placer.FullList
+	}
+	c.listed(kind, changed)
+	c.run()
+	return true, nil
+}
+
+// listed tells the module and looks after what stood at machines that have gone or begun a new life.
+func (c *Core) listed(kind placer.ListKind, changed []placer.Node) {
+	c.asked = false
+	c.post(placer.Event{Kind: placer.Listed, List: kind, Nodes: changed})
+	for _, n := range c.nodes {
+		if n.State == placer.Gone {
+			c.goneSoon(n)
+			continue
+		}
+		for o := range n.standing {
+			if n.Boot > o.bound+bootSlack {
+				c.end(o, placer.Lost, placer.NoReason, nil, causeLost) // of a life that is over
+			}
+		}
+	}
+	c.out = append(c.out, Effect{Kind: Roster})
+}
+
+// Last is the number of the last event of the bulletin that was entered.
+func (c *Core) Last() uint64 { return c.last }
+
+// Streaming tells whether the bulletin is being listened to. The module's calls for the list are answered from the stream: what it tells
+// is handed on as it comes, so a call has its answer at once while the stream stands, and fails when a try to open it has failed.
+func (c *Core) Streaming(now float64, on bool) {
+	c.tick(now)
+	c.streaming = on
+	if c.asked {
+		c.asked = false
+		if on {
+			c.post(placer.Event{Kind: placer.Listed, List: placer.Changes})
+		} else {
+			c.post(placer.Event{Kind: placer.Listed, List: placer.ListFailed})
+		}
+	}
+	c.run()
+}
--- /dev/null
+++ b/internal/platform/nodes.go
@@ -0,0 +1,306 @@
+//go:build linux
+
+package platform
+
+import (
+	"errors"
+	"slices"
+
+	"heathshed/internal/backoff"
+	"heathshed/internal/dispatch"
+	"heathshed/internal/jsonl"
+	"heathshed/internal/loop"
+	"heathshed/placer"
+)
+
+const (
+	checkEvery = 2.0 // while tasks stand at a machine, its connection is tested so often
+	owedBytes  = 64 << 10
+)
+
+// link is all connections to one machine, told apart by its uid: another machine may sit where it was.
+type link struct {
+	s       *Server
+	id      placer.NodeID
+	addr    string
+	conns   []*nodeConn
+	dialing *nodeConn
+	queue   []*dispatch.Offer // wait for the dial
+	owed    []byte            // releases for a machine that no connection reaches
+	retry   backoff.Backoff
+	retryAt float64
+}
+
+// nodeConn is one connection to a machine.
+type nodeConn struct {
+	k       *link
+	lc      *loop.Conn
+	offers  map[*dispatch.Offer]struct{}
+	up      bool
+	suspect bool // an offer on it was not answered in time
+	heard   float64
+	used    float64
+	checked float64
+	m       jsonl.Message
+}
+
+func (s *Server) link(id placer.NodeID) *link {
+	k := s.links[id]
+	if k == nil {
+		k = &link{s: s, id: id, retry: backoff.Backoff{Min: 0.2, Max: 2}}
+		if n := s.c.Node(id); n != nil {
+			k.addr = n.Addr
+		}
+		s.links[id] = k
+	}
+	return k
+}
+
+// follow brings the links in line with the roster: a machine that has moved is spoken to at its new address, one that is gone and holds
+// nothing is not spoken to.
+func (s *Server) follow() {
+	s.c.Nodes(func(n *dispatch.Node) {
+		k := s.links[n.ID]
+		if k == nil {
+			return
+		}
+		if k.addr != n.Addr {
+			k.addr = n.Addr
+			k.closeAll()
+		}
+		if n.State == placer.Gone && n.Standing() == 0 {
+			k.closeAll()
+			delete(s.links, n.ID)
+		}
+	})
+}
+
+func (k *link) closeAll() {
+	for _, c := range slices.Clone(k.conns) {
+		c.lc.Close()
+	}
+	if k.dialing != nil {
+		k.dialing.lc.Close()
+	}
+}
+
+// send has an offer go out on an open connection, or on one that is dialled for it.
+func (k *link) send(o *dispatch.Offer) {
+	if c := k.usable(); c != nil {
+		c.send(o)
+		return
+	}
+	k.queue = append(k.queue, o)
+	k.dial()
+}
+
+func (k *link) usable() *nodeConn {
+	for _, c := range k.conns {
+		if !c.suspect {
+			return c
+		}
+	}
+	return nil
+}
+
+func (k *link) dial() {
+	if k.dialing != nil {
+		return
+	}
+	s := k.s
+	if s.nodeConns >= s.maxNodes {
+		s.freeNodeConn()
+	}
+	c := &nodeConn{k: k, offers: map[*dispatch.Offer]struct{}{}}
+	within := s.cfg.Settings.Placer.ConnectWithin
+	if within <= 0 {
+		within = 0.25
+	}
+	s.stats.Dials++
+	lc, err := s.l.Dial(k.addr, within, c)
+	if err != nil {
+		s.l.After(0, func() { k.failed(err) })
+		return
+	}
+	lc.MaxIn = 2 * jsonl.MaxLine
+	c.lc, k.dialing = lc, c
+	s.nodeConns++
+}
+
+// failed tells that no connection came up.
+func (k *link) failed(err error) {
+	s := k.s
+	s.stats.DialsFailed++
+	k.retryAt = s.l.Now() + k.retry.Next(0.5)
+	q := k.queue
+	k.queue = nil
+	for _, o := range q {
+		s.c.Unreachable(s.l.Now(), o)
+	}
+	s.pump()
+}
+
+// freeNodeConn closes the longest idle connection to a machine that holds nothing of ours.
+func (s *Server) freeNodeConn() {
+	var worst *nodeConn
+	for _, k := range s.links {
+		if n := s.c.Node(k.id); n != nil && n.Standing() > 0 && len(k.conns) < 2 {
+			continue
+		}
+		for _, c := range k.conns {
+			if len(c.offers) == 0 && (worst == nil || c.used < worst.used) {
+				worst = c
+			}
+		}
+	}
+	if worst != nil {
+		worst.lc.Close()
+	}
+}
+
+func (c *nodeConn) send(o *dispatch.Offer) {
+	s := c.k.s
+	if !s.c.MayStart(s.l.Now(), o) {
+		return
+	}
+	o.Line = c
+	c.offers[o] = struct{}{}
+	c.used = s.l.Now()
+	c.lc.SetOut(o.Message.Append(c.lc.Out()))
+}
+
+// release sends a message about an offer to its machine.
+func (k *link) release(e *dispatch.Effect) {
+	c, _ := e.Offer.Line.(*nodeConn)
+	if c != nil {
+		delete(c.offers, e.Offer)
+		if e.TimedOut && !c.suspect {
+			c.suspect = true
+			k.s.stats.Suspects++
+		}
+	}
+	if c == nil || c.lc.Closed() {
+		if c = k.usable(); c == nil && len(k.conns) > 0 {
+			c = k.conns[0]
+		}
+	}
+	if c == nil {
+		if len(k.owed) < owedBytes {
+			k.owed = e.Message.Append(k.owed)
+		}
+		return
+	}
+	c.lc.SetOut(e.Message.Append(c.lc.Out()))
+	c.used = k.s.l.Now()
+}
+
+// keep closes what is idle and sees to it that a machine that holds tasks can say how they end.
+func (k *link) keep() {
+	s := k.s
+	now := s.l.Now()
+	n := s.c.Node(k.id)
+	holds := n != nil && n.Standing() > 0
+	idle := s.cfg.Settings.ConnIdle * 0.6
+	for _, c := range slices.Clone(k.conns) {
+		switch {
+		case c.suspect && len(c.offers) == 0:
+			c.lc.Close()
+		case holds && now-max(c.used, c.checked) > checkEvery && len(k.conns) == 1:
+			c.checked = now
+			c.lc.SetOut(check.Append(c.lc.Out()))
+		case idle > 0 && len(c.offers) == 0 && now-c.used > idle && (!holds || len(k.conns) > 1):
+			c.lc.Close()
+		}
+	}
+	if (holds || len(k.owed) > 0) && len(k.conns) == 0 && k.dialing == nil && now >= k.retryAt && n != nil && n.State != placer.Gone {
+		k.dial()
+	}
+}
+
+var check = jsonl.Message{Kind: jsonl.Check, UID: "0000000000000001", ID: 1, HasReason: true}
+
+func (c *nodeConn) Opened(lc *loop.Conn) {
+	k := c.k
+	s := k.s
+	c.up, c.heard, c.used = true, s.l.Now(), s.l.Now()
+	if k.dialing == c {
+		k.dialing = nil
+	}
+	k.retry.Reset()
+	k.conns = append(k.conns, c)
+	if len(k.owed) > 0 {
+		lc.Write(k.owed)
+		k.owed = nil
+	}
+	q := k.queue
+	k.queue = nil
+	for _, o := range q {
+		c.send(o)
+	}
+	s.pump()
+}
+
+var errStrange = errors.New("message that a machine does not send")
+
+func (c *nodeConn) Data(lc *loop.Conn, b []byte) int {
+	s := c.k.s
+	c.heard = s.l.Now()
+	n, err := s.lines(lc, b, func(line []byte) error {
+		if err := jsonl.Parse(line, &c.m); err != nil {
+			return err
+		}
+		if c.m.Kind == jsonl.Launch || c.m.Kind == jsonl.Check {
+			return errStrange
+		}
+		s.c.FromNode(s.l.Now(), c.k.id, &c.m)
+		return nil
+	})
+	c.settle()
+	s.pump()
+	if err != nil && !lc.Closed() {
+		s.stats.BadNodeLines++
+		s.warn("machine's connection ended", lc.Peer(), err)
+		lc.Close()
+		return len(b)
+	}
+	return min(n, len(b))
+}
+
+// settle forgets the offers that have their answer.
+func (c *nodeConn) settle() {
+	for o := range c.offers {
+		if !o.Open() {
+			delete(c.offers, o)
+		}
+	}
+}
+
+func (c *nodeConn) Drained(*loop.Conn) {}
+
+func (c *nodeConn) Closed(_ *loop.Conn, err error) {
+	k := c.k
+	s := k.s
+	s.nodeConns--
+	if !c.up {
+		if k.dialing == c {
+			k.dialing = nil
+		}
+		k.failed(err)
+		return
+	}
+	if i := slices.Index(k.conns, c); i >= 0 {
+		k.conns = slices.Delete(k.conns, i, i+1)
+	}
+	if !errors.Is(err, loop.ErrClosedHere) {
+		s.stats.NodeBreaks++
+	}
+	all := make([]*dispatch.Offer, 0, len(c.offers))
+	for o := range c.offers {
+		all = append(all, o)
+	}
+	c.offers = nil
+	for _, o := range all {
+		s.c.Broken(s.l.Now(), o)
+	}
+	s.pump()
+}
--- /dev/null
+++ b/internal/platform/owners.go
@@ -0,0 +1,113 @@
+//go:build linux
+
+package platform
+
+import (
+	"errors"
+
+	"heathshed/internal/dispatch"
+	"heathshed/internal/jsonl"
+	"heathshed/internal/loop"
+)
+
+// ownerConn is one accepted connection.
+type ownerConn struct {
+	s      *Server
+	lc     *loop.Conn
+	id     dispatch.ConnID
+	opened float64
+	last   float64 // when the last message that made sense came
+	m      jsonl.Message
+}
+
+func (s *Server) accept(lc *loop.Conn) loop.Handler {
+	s.nextOwner++
+	s.stats.Accepted++
+	lc.MaxIn = 2 * jsonl.MaxLine
+	oc := &ownerConn{s: s, lc: lc, id: s.nextOwner, opened: s.l.Now(), last: s.l.Now()}
+	s.owners[oc.id] = oc
+	s.c.OwnerOpened(s.l.Now(), oc.id)
+	if len(s.owners) >= s.maxOwners-2 {
+		s.makeRoom()
+	}
+	return oc
+}
+
+func (oc *ownerConn) Opened(*loop.Conn) {}
+
+func (oc *ownerConn) Data(lc *loop.Conn, b []byte) int {
+	s := oc.s
+	n, err := s.lines(lc, b, func(line []byte) error {
+		if err := jsonl.Parse(line, &oc.m); err != nil {
+			return err
+		}
+		if err := s.c.FromOwner(s.l.Now(), oc.id, &oc.m); err != nil {
+			s.stats.BadLines++
+			s.warn("owner's message not taken", lc.Peer(), err)
+		} else {
+			oc.last = s.l.Now()
+		}
+		return nil
+	})
+	s.pump()
+	if err != nil && !lc.Closed() {
+		// What cannot be read cannot be answered either, and what follows it means nothing.
+		s.stats.BadLines++
+		s.warn("owner's connection ended", lc.Peer(), err)
+		lc.CloseAfterFlush()
+		return len(b)
+	}
+	return min(n, len(b))
+}
+
+func (oc *ownerConn) Drained(*loop.Conn) {}
+
+func (oc *ownerConn) Closed(_ *loop.Conn, err error) {
+	s := oc.s
+	delete(s.owners, oc.id)
+	s.c.OwnerClosed(s.l.Now(), oc.id)
+	s.pump()
+}
+
+var errUnread = errors.New("does not read what it is sent")
+
+func (oc *ownerConn) write(m *jsonl.Message) {
+	if oc.lc.Buffered() > unsentToOwner {
+		oc.s.warn("owner's connection ended", oc.lc.Peer(), errUnread)
+		oc.s.l.After(0, oc.lc.Close)
+		return
+	}
+	out := m.Append(oc.lc.Out())
+	oc.lc.SetOut(out)
+}
+
+// sweepOwners closes connections that have nothing under way and never had.
+func (s *Server) sweepOwners() {
+	now := s.l.Now()
+	for _, oc := range s.owners {
+		if open, good := s.c.OwnerOpen(oc.id); open == 0 && !good && now-oc.last > strangerFor {
+			s.stats.Strangers++
+			oc.lc.CloseAfterFlush()
+		}
+	}
+}
+
+// makeRoom closes the connection that is missed least: one without a set-up open, strangers before those that had tasks stand, the longest
+// idle first.
+func (s *Server) makeRoom() {
+	var worst *ownerConn
+	worstGood := false
+	for _, oc := range s.owners {
+		open, good := s.c.OwnerOpen(oc.id)
+		if open > 0 || oc.opened == s.l.Now() {
+			continue
+		}
+		if worst == nil || worstGood && !good || worstGood == good && oc.last < worst.last {
+			worst, worstGood = oc, good
+		}
+	}
+	if worst != nil {
+		s.stats.Crowded++
+		worst.lc.Close()
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,252 @@
+//go:build linux
+
+// Package platform is the scheduler on the shared platform's sockets: a listener for owners, connections to machines, the bulletin and
+// signals, all on one event loop. It translates between bytes and package dispatch and decides nothing on placing.
+package platform
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"heathshed/internal/dispatch"
+	"heathshed/internal/jsonl"
+	"heathshed/internal/loop"
+	"heathshed/placer"
+)
+
+// Times in seconds.
+const (
+	strangerFor   = 2.0  // a connection that has nothing under way and never had is closed after this; the platform allows 3
+	acceptAfter   = 0.85 // after the signal to stop, connections and set-ups come for 0.7 s at most
+	housekeeping  = 0.25
+	reportEvery   = 10.0
+	leastSockets  = 64
+	spareSockets  = 16 // files, the loop's own descriptors, the bulletin's
+	linesPerTurn  = 64 // of one connection, then it is the turn of others
+	unsentToOwner = 256 << 10
+)
+
+// Server is one scheduler.
+type Server struct {
+	l    *loop.Loop
+	c    *dispatch.Core
+	cfg  *Config
+	log  zerolog.Logger
+	ln   *loop.Listener
+	due  *loop.Timer
+	now  func() float64
+	done func()
+
+	owners    map[dispatch.ConnID]*ownerConn
+	nextOwner dispatch.ConnID
+	maxOwners int
+	maxNodes  int
+	nodeConns int
+	links     map[placer.NodeID]*link
+	bulletin  *bulletin
+	resume    []*loop.Conn
+	stopping  bool
+	stopAt    float64
+	stats     Stats
+	complain  complaints
+}
+
+// Stats counts what passed on the sockets.
+type Stats struct {
+	Accepted, Strangers, Crowded, BadLines, BadNodeLines, Dials, DialsFailed, NodeBreaks, Suspects, BulletinOpens, BulletinEvents uint64
+}
+
+// New makes a scheduler on the loop and begins to listen. Its end is told by done, on the loop.
+func New(l *loop.Loop, cfg *Config, p dispatch.Decider, log zerolog.Logger, done func()) (*Server, error) {
+	core, err := dispatch.New(l.Now(), cfg.Settings, p, cfg.Known)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	s := &Server{l: l, c: core, cfg: cfg, log: log, done: done, owners: map[dispatch.ConnID]*ownerConn{},
+		links: map[placer.NodeID]*link{}}
+	sockets := cfg.Sockets
+	if sockets == 0 {
+		sockets = 4096
+	}
+	s.maxNodes = (sockets - spareSockets) * 3 / 10
+	s.maxOwners = sockets - spareSockets - s.maxNodes
+	l.SetMaxConns(s.maxOwners)
+	if s.ln, err = l.Listen(cfg.Listen, s.accept); err != nil {
+		return nil, err
+	}
+	s.bulletin = newBulletin(s, cfg.Bulletin)
+	s.bulletin.open()
+	s.pump()
+	l.After(housekeeping, s.keep)
+	l.After(reportEvery, s.report)
+	return s, nil
+}
+
+// Addr is the address listened at.
+func (s *Server) Addr() string { return s.ln.Addr() }
+
+// Core is the core, for who looks on.
+func (s *Server) Core() *dispatch.Core { return s.c }
+
+// Reload goes over to the bulletin that a new configuration names.
+func (s *Server) Reload(cfg *Config) {
+	if cfg.Bulletin != s.bulletin.addr {
+		s.log.Info().Str("bulletin", cfg.Bulletin).Uint64("last", s.c.Last()).Msg("bulletin moved")
+		s.bulletin.move(cfg.Bulletin)
+	}
+}
+
+// Stop serves what still comes, answers all that was taken, and then ends. A second call changes nothing.
+func (s *Server) Stop() {
+	if s.stopping {
+		return
+	}
+	s.stopping, s.stopAt = true, s.l.Now()
+	s.log.Info().Int("open", s.c.Open()).Int("standing", s.c.Standing()).Msg("stopping")
+	s.l.After(acceptAfter, s.ending)
+}
+
+func (s *Server) ending() {
+	s.ln.Close()
+	if s.c.Open() > 0 {
+		s.l.After(0.01, s.ending)
+		return
+	}
+	for _, oc := range s.owners {
+		if oc.lc.Buffered() > 0 && s.l.Now() < s.stopAt+3 {
+			s.l.After(0.01, s.ending)
+			return
+		}
+	}
+	s.report()
+	s.log.Info().Msg("stopped")
+	s.done()
+}
+
+// pump carries out what the core left to do and sets the timer for what it does next.
+func (s *Server) pump() {
+	for effects := s.c.Ready(); len(effects) > 0; effects = s.c.Ready() {
+		for i := range effects {
+			s.carryOut(&effects[i])
+		}
+	}
+	due := s.c.Due()
+	if s.due != nil && s.due.Due() == due {
+		return
+	}
+	s.due.Stop()
+	s.due = nil
+	if due < s.l.Now()+1e6 {
+		s.due = s.l.At(due, func() {
+			s.due = nil
+			s.c.Advance(s.l.Now())
+			s.pump()
+		})
+	}
+}
+
+func (s *Server) carryOut(e *dispatch.Effect) {
+	switch e.Kind {
+	case dispatch.Tell:
+		if oc := s.owners[e.Conn]; oc != nil {
+			oc.write(&e.Message)
+		}
+	case dispatch.Hang:
+		if oc := s.owners[e.Conn]; oc != nil {
+			oc.lc.CloseAfterFlush()
+		}
+	case dispatch.Send:
+		s.link(e.Offer.Node).send(e.Offer)
+	case dispatch.Release:
+		s.link(e.Offer.Node).release(e)
+	case dispatch.Roster:
+		s.follow()
+	}
+}
+
+// keep is what is done at regular times.
+func (s *Server) keep() {
+	s.sweepOwners()
+	for _, k := range s.links {
+		k.keep()
+	}
+	s.pump()
+	s.l.After(housekeeping, s.keep)
+}
+
+// report writes what was counted to the log.
+func (s *Server) report() {
+	c := &s.c.Counts
+	s.log.Info().Int("owners", len(s.owners)).Int("node_conns", s.nodeConns).Int("links", len(s.links)).Int("open", s.c.Open()).
+		Int("standing", s.c.Standing()).Uint64("bulletin", s.c.Last()).Interface("core", c).Interface("sockets", &s.stats).Msg("counts")
+	if !s.stopping {
+		s.l.After(reportEvery, s.report)
+	}
+}
+
+// later has a connection's unread lines looked at in the next turn: one that sends much does not keep the others waiting.
+func (s *Server) later(lc *loop.Conn) {
+	lc.PauseRead(true)
+	s.resume = append(s.resume, lc)
+	if len(s.resume) == 1 {
+		s.l.After(0, func() {
+			all := s.resume
+			s.resume = nil
+			for _, lc := range all {
+				lc.PauseRead(false)
+			}
+		})
+	}
+}
+
+// lines calls f for each whole line of b, at most linesPerTurn, and returns how many bytes were taken. The error is that of f, or
+// jsonl.ErrTooLong for a line without an end.
+func (s *Server) lines(lc *loop.Conn, b []byte, f func(line []byte) error) (int, error) {
+	n := 0
+	for range linesPerTurn {
+		i := indexEnd(b[n:])
+		if i < 0 {
+			if len(b)-n >= jsonl.MaxLine {
+				return n, jsonl.ErrTooLong
+			}
+			return n, nil
+		}
+		if err := f(b[n : n+i]); err != nil {
+			return n, err
+		}
+		n += i + 1
+		if lc.Closed() {
+			return n, nil
+		}
+	}
+	if n < len(b) {
+		s.later(lc)
+	}
+	return n, nil
+}
+
+func indexEnd(b []byte) int {
+	for i, c := range b {
+		if c == '\n' {
+			return i
+		}
+	}
+	return -1
+}
+
+// complaints bounds how often one kind of bad input is logged.
+type complaints struct {
+	since time.Time
+	n     int
+}
+
+func (s *Server) warn(what, peer string, err error) {
+	if s.l.Now() > float64(s.complain.since.Unix())+1 {
+		s.complain = complaints{since: time.Unix(int64(s.l.Now()), 0)}
+	}
+	if s.complain.n++; s.complain.n <= 5 {
+		s.log.Warn().Str("peer", peer).Err(err).Msg(what)
+	}
+}
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -6,8 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 
+	"heathshed/internal/simsettings"
 	"heathshed/internal/wire"
 	"heathshed/placer"
 )
@@ -75,15 +75,15 @@
 		h.lists[ev.Sheet] = list
 		return nil
 	case wire.Begin:
-		c, fields, err := parse(ev.Settings)
+		s, err := simsettings.Parse(ev.Settings)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", ev.Who, err)
 		}
-		p, err := placer.New(c, ev.Seed)
+		p, err := placer.New(s.Placer, ev.Seed)
 		if err != nil {
 			return fmt.Errorf("instance %d: settings: %w", ev.Who, err)
 		}
-		h.instances[ev.Who] = &instance{p: p, fields: fields}
+		h.instances[ev.Who] = &instance{p: p, fields: s.ReportFields}
 		return nil
 	case wire.Down:
 		delete(h.instances, ev.Who)
@@ -208,18 +208,10 @@
 	if len(values) == 0 {
 		return nil
 	}
-	none := math.NaN()
-	in.report = placer.Report{FreeCores: none, FreeMemory: none, Busy: none, Queue: none}
+	in.report = simsettings.NoReport()
 	for i, v := range values {
-		switch at(in.fields, i, "") {
-		case "x0":
-			in.report.FreeCores = float64(v)
-		case "x1":
-			in.report.FreeMemory = float64(v)
-		case "utilization":
-			in.report.Busy = float64(v)
-		case "backlog":
-			in.report.Queue = float64(v)
+		if i < len(in.fields) {
+			simsettings.Tell(&in.report, in.fields[i], float64(v))
 		}
 	}
 	return &in.report
--- a/internal/simhost/host_test.go
+++ b/internal/simhost/host_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"heathshed/internal/simsettings"
 	"heathshed/placer"
 )
 
@@ -118,10 +119,11 @@
 }
 
 func TestSettings(t *testing.T) {
-	c, fields, err := parse([]byte(text))
+	s, err := simsettings.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
+	c, fields := s.Placer, s.ReportFields
 	k := c.Classes[1]
 	if c.Self != 1 || c.Peers != 2 || c.MaxAttempts != 3 || !c.AnswersWhenRunning || !c.ReportsUse || len(fields) != 2 ||
 		k.Effect != placer.Keyed || k.Group != placer.Rack || k.Remembers != 3 || k.Apart != placer.Rack || k.Most != 2 ||
--- a/internal/simhost/settings.go
+++ b/internal/simsettings/simsettings.go
@@ -1,12 +1,28 @@
-package simhost
+// Package simsettings reads the settings of the simulator's first message, which a scheduler in service gets in its configuration file:
+// one reader for both, so that the module is told the same in both places. It is pure: no I/O, clock, goroutine or global.
+package simsettings
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 
 	"heathshed/placer"
 )
 
+// Settings are what the program needs beside the module's configuration, with that configuration.
+type Settings struct {
+	Placer placer.Config
+	// Names, in the order of their numbers. The last serves for no other: a name that is not here is not known.
+	Classes, Tenants, Zones, Kinds []string
+	// ReportFields are the names of the values of a load report, in order.
+	ReportFields []string
+	// ConnIdle is after how many seconds a machine closes an idle connection; 0 if not told.
+	ConnIdle float64
+	// Round is how often events are handed over at most, in seconds.
+	Round float64
+}
+
 // settings are the keys of the first message that have a use here; unknown keys are skipped.
 type settings struct {
 	Discovery string `json:"discovery"`
@@ -31,7 +47,10 @@
 		YoungLimit  float64   `json:"youngLimit"`
 		CheckAfterS float64   `json:"checkAfterS"`
 	} `json:"extra"`
-	Lanes []struct {
+	Flavors []string `json:"flavors"`
+	RoundS  float64  `json:"roundS"`
+	Zones   []string `json:"zones"`
+	Lanes   []struct {
 		Effect     string  `json:"effect"`
 		HardLimitS float64 `json:"hardLimitS"`
 		KeyScope   string  `json:"keyScope"`
@@ -39,6 +58,7 @@
 		LateValue  float64 `json:"lateValue"`
 		ObjectiveS float64 `json:"objectiveS"`
 		Worth      float64 `json:"worth"`
+		Name       string  `json:"name"`
 	} `json:"lanes"`
 	LoadReport struct {
 		Fields []string `json:"fields"`
@@ -46,11 +66,13 @@
 	Me     int `json:"me"`
 	MyZone int `json:"myZone"`
 	Orgs   []struct {
+		Name  string  `json:"name"`
 		Share float64 `json:"share"`
 	} `json:"orgs"`
 	OverShareWorth float64 `json:"overShareWorth"`
 	PeersTotal     int     `json:"peersTotal"`
 	Permissions    struct {
+		ConnIdleS       float64 `json:"connIdleS"`
 		ConnectTimeoutS float64 `json:"connectTimeoutS"`
 		MaxRetryAfterS  float64 `json:"maxRetryAfterS"`
 		MayDuplicate    bool    `json:"mayDuplicate"`
@@ -81,11 +103,11 @@
 	return of[min(i, len(of)-1)]
 }
 
-// parse turns the first message's settings into the module's configuration and the order of report fields.
-func parse(text []byte) (placer.Config, []string, error) {
+// Parse reads the JSON text of the settings. An error names the key that cannot be used.
+func Parse(text []byte) (*Settings, error) {
 	var s settings
 	if err := json.Unmarshal(text, &s); err != nil {
-		return placer.Config{}, nil, fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("settings: %w", err)
 	}
 	x, r, p := &s.Extra, &s.Rules, &s.Permissions
 	c := placer.Config{
@@ -112,19 +134,19 @@
 		case "at_most_once":
 			k.Effect = placer.Once
 		default:
-			return c, nil, fmt.Errorf("settings: lanes[%d].effect: %q is not known", i, l.Effect)
+			return nil, fmt.Errorf("settings: lanes[%d].effect: %q is not known", i, l.Effect)
 		}
 		var err error
 		if k.Group, err = place(l.KeyScope); err != nil && k.Effect == placer.Keyed {
-			return c, nil, fmt.Errorf("settings: lanes[%d].keyScope: %w", i, err)
+			return nil, fmt.Errorf("settings: lanes[%d].keyScope: %w", i, err)
 		}
 		if k.Apart, err = place(at(x.ApartBy, i, "none")); err != nil {
-			return c, nil, fmt.Errorf("settings: extra.apartBy[%d]: %w", i, err)
+			return nil, fmt.Errorf("settings: extra.apartBy[%d]: %w", i, err)
 		}
 		c.Classes = append(c.Classes, k)
 	}
 	if len(x.KindMemory) != len(x.CoresByKind) {
-		return c, nil, fmt.Errorf("settings: extra.kindMemory: %d kinds, extra.coresByKind has %d",
+		return nil, fmt.Errorf("settings: extra.kindMemory: %d kinds, extra.coresByKind has %d",
 			len(x.KindMemory), len(x.CoresByKind))
 	}
 	for i := range x.CoresByKind {
@@ -133,7 +155,35 @@
 	for i, o := range s.Orgs {
 		c.Tenants = append(c.Tenants, placer.Tenant{Share: o.Share, Cores: at(x.QuotaCores, i, 0)})
 	}
-	return c, s.LoadReport.Fields, nil
+	out := &Settings{Placer: c, Zones: s.Zones, Kinds: s.Flavors, ReportFields: s.LoadReport.Fields,
+		ConnIdle: p.ConnIdleS, Round: s.RoundS}
+	for _, l := range s.Lanes {
+		out.Classes = append(out.Classes, l.Name)
+	}
+	for _, o := range s.Orgs {
+		out.Tenants = append(out.Tenants, o.Name)
+	}
+	return out, nil
+}
+
+// NoReport is a load report of which nothing was told.
+func NoReport() placer.Report {
+	none := math.NaN()
+	return placer.Report{FreeCores: none, FreeMemory: none, Busy: none, Queue: none}
+}
+
+// Tell enters the value of one field of a load report; names that have no use here are skipped.
+func Tell(r *placer.Report, field string, value float64) {
+	switch field {
+	case "x0":
+		r.FreeCores = value
+	case "x1":
+		r.FreeMemory = value
+	case "utilization":
+		r.Busy = value
+	case "backlog":
+		r.Queue = value
+	}
 }
 
 func place(name string) (placer.Place, error) {
