--- a/cmd/heathshed/platform.go
+++ b/cmd/heathshed/platform.go
@@ -18,8 +18,11 @@
 )
 
 func platformCommand() *cobra.Command {
-	return &cobra.Command{Use: "platform", Short: "Run one scheduler on the shared platform, as LB_CONFIG says", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return runPlatform() }}
+	level := "info"
+	c := &cobra.Command{Use: "platform", Short: "Run one scheduler on the shared platform, as LB_CONFIG says", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return runPlatform(level) }}
+	c.Flags().StringVar(&level, "log-level", level, "trace, debug, info, warn or error; trace logs every message")
+	return c
 }
 
 // platformConfig reads the file that LB_CONFIG names; the other variables must agree with it.
@@ -41,7 +44,11 @@
 	return cfg, nil
 }
 
-func runPlatform() error {
+func runPlatform(levelName string) error {
+	level, err := zerolog.ParseLevel(levelName)
+	if err != nil {
+		return &exitError{2, fmt.Errorf("log-level: %w", err)}
+	}
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cfg, err := platformConfig()
@@ -57,7 +64,7 @@
 	if err != nil {
 		return &exitError{2, fmt.Errorf("settings: %w", err)}
 	}
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
 	l, err := loop.New()
 	if err != nil {
 		return err
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,11 +21,11 @@
 
 // Times in seconds that the protocol gives or leaves open.
 const (
-	owedFor   = 8.0 // a release that found no connection of an owner is owed for so long
-	goneGrace = 1.0 // after the bulletin's word that a machine has gone its tasks are taken for lost
-	bootSlack = 1.0 // clocks and lists are rough: a task bound this near a machine's start is of its new life
-	lateFor   = 5.0 // beyond the time that owners look for a task, an attempt given up is remembered
-	maxLeft   = 600.0
+	owedFor   = 8.0   // a release that found no connection of an owner is owed for so long
+	goneGrace = 1.0   // after the bulletin's word that a machine has gone its tasks are taken for lost
+	bootSlack = 1.0   // clocks and lists are rough: a task bound this near a machine's start is of its new life
+	lateFor   = 5.0   // beyond the time that owners look for a task, an attempt given up is remembered
+	maxLeft   = 600.0 // no class waits so long: a set-up that claims to is not an owner's
 )
 
 const (
@@ -489,11 +489,6 @@
 	if _, err := jsonl.ParseID(m.Get(jsonl.Key)); err != nil {
 		return x, "", fmt.Errorf("key: %w", err)
 	}
-	left, err := strconv.ParseFloat(m.Get(jsonl.Left), 64)
-	if err != nil || !(left >= 0) || left > maxLeft*1000 {
-		return x, "", fmt.Errorf("left %.40q: want 0 to %g ms", m.Get(jsonl.Left), maxLeft*1000)
-	}
-	x.Deadline = c.now + left/1000
 	seen := 0
 	for part := range strings.SplitSeq(m.Get(jsonl.Extras), ";") {
 		name, value, _ := strings.Cut(part, ":")
@@ -520,6 +515,12 @@
 			}
 		}
 	}
+	// Of a task that stands no answer is owed: owners give any time there, such as that of a task without an end.
+	left, err := strconv.ParseFloat(m.Get(jsonl.Left), 64)
+	if err != nil || !(left >= 0) || left > maxLeft*1000 && at == "" {
+		return x, "", fmt.Errorf("left %.40q: want 0 to %g ms", m.Get(jsonl.Left), maxLeft*1000)
+	}
+	x.Deadline = c.now + left/1000
 	if seen != 2 {
 		return x, "", fmt.Errorf("extras %.60q: want cores and memory once each", m.Get(jsonl.Extras))
 	}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -34,6 +34,7 @@
 // nodeConn is one connection to a machine.
 type nodeConn struct {
 	k       *link
+	no      uint64
 	lc      *loop.Conn
 	offers  map[*dispatch.Offer]struct{}
 	up      bool
@@ -60,7 +61,12 @@
 // nothing is not spoken to.
 func (s *Server) follow() {
 	s.c.Nodes(func(n *dispatch.Node) {
+		// A machine that holds a task taken over at the start was never offered one from here: without a connection it could not say how
+		// that task ends.
 		k := s.links[n.ID]
+		if k == nil && n.Standing() > 0 {
+			k = s.link(n.ID)
+		}
 		if k == nil {
 			return
 		}
@@ -111,7 +117,8 @@
 	if s.nodeConns >= s.maxNodes {
 		s.freeNodeConn()
 	}
-	c := &nodeConn{k: k, offers: map[*dispatch.Offer]struct{}{}}
+	s.nextNode++
+	c := &nodeConn{k: k, no: s.nextNode, offers: map[*dispatch.Offer]struct{}{}}
 	within := s.cfg.Settings.Placer.ConnectWithin
 	if within <= 0 {
 		within = 0.25
@@ -166,6 +173,7 @@
 	o.Line = c
 	c.offers[o] = struct{}{}
 	c.used = s.l.Now()
+	s.trace(">node", c.no, c.lc.Peer(), &o.Message)
 	c.lc.SetOut(o.Message.Append(c.lc.Out()))
 }
 
@@ -190,6 +198,7 @@
 		}
 		return
 	}
+	k.s.trace(">node", c.no, c.lc.Peer(), &e.Message)
 	c.lc.SetOut(e.Message.Append(c.lc.Out()))
 	c.used = k.s.l.Now()
 }
@@ -252,6 +261,7 @@
 		if c.m.Kind == jsonl.Launch || c.m.Kind == jsonl.Check {
 			return errStrange
 		}
+		s.trace("node>", uint64(c.no), lc.Peer(), &c.m)
 		s.c.FromNode(s.l.Now(), c.k.id, &c.m)
 		return nil
 	})
@@ -281,6 +291,7 @@
 	k := c.k
 	s := k.s
 	s.nodeConns--
+	s.log.Trace().Uint64("conn", c.no).Str("addr", k.addr).Bool("up", c.up).Err(err).Msg("node closed")
 	if !c.up {
 		if k.dialing == c {
 			k.dialing = nil
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -41,6 +41,7 @@
 		if err := jsonl.Parse(line, &oc.m); err != nil {
 			return err
 		}
+		s.trace("owner>", uint64(oc.id), lc.Peer(), &oc.m)
 		if err := s.c.FromOwner(s.l.Now(), oc.id, &oc.m); err != nil {
 			s.stats.BadLines++
 			s.warn("owner's message not taken", lc.Peer(), err)
@@ -64,6 +65,7 @@
 
 func (oc *ownerConn) Closed(_ *loop.Conn, err error) {
 	s := oc.s
+	s.log.Trace().Uint64("conn", uint64(oc.id)).Err(err).Msg("owner closed")
 	delete(s.owners, oc.id)
 	s.c.OwnerClosed(s.l.Now(), oc.id)
 	s.pump()
@@ -77,6 +79,7 @@
 		oc.s.l.After(0, oc.lc.Close)
 		return
 	}
+	oc.s.trace(">owner", uint64(oc.id), oc.lc.Peer(), m)
 	out := m.Append(oc.lc.Out())
 	oc.lc.SetOut(out)
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -44,6 +44,7 @@
 	maxOwners int
 	maxNodes  int
 	nodeConns int
+	nextNode  uint64
 	links     map[placer.NodeID]*link
 	bulletin  *bulletin
 	resume    []*loop.Conn
@@ -186,6 +187,23 @@
 	}
 }
 
+// trace logs one message at level trace.
+func (s *Server) trace(what string, conn uint64, peer string, m *jsonl.Message) {
+	if s.log.GetLevel() > zerolog.TraceLevel {
+		return
+	}
+	e := s.log.Trace().Str("kind", m.Kind.String()).Str("uid", m.UID).Uint64("conn", conn).Str("peer", peer)
+	if m.HasReason {
+		e.Int("reason", m.Reason)
+	}
+	for f := jsonl.Class; f <= jsonl.Load; f++ {
+		if m.Has(f) {
+			e.Str(f.String(), m.Get(f))
+		}
+	}
+	e.Msg(what)
+}
+
 // later has a connection's unread lines looked at in the next turn: one that sends much does not keep the others waiting.
 func (s *Server) later(lc *loop.Conn) {
 	lc.PauseRead(true)
