Connections to machines are tested, silent or refusing machines taken for lost; tests

Need: a task standing at a machine that vanished was released only at the bulletin's word; a connection that carries nothing any more was waited on.

--- /dev/null
+++ b/internal/connpool/shared.go
@@ -0,0 +1,86 @@
+package connpool
+
+// Shared bounds connections that carry many requests at a time, to one machine. Times are in seconds.
+//
+// A test is a message that the other end answers at once, however busy it is: it tells a slow machine, which has to be waited for, from a
+// connection that stays open and carries nothing any more, on which waiting is in vain.
+type Shared struct {
+	MaxIdle   float64 // closed after so long without a request, where nothing is expected of the other end; 0 keeps it
+	TestAfter float64 // tested after so long without a word, while something is expected
+	TestFor   float64 // a test without an answer for so long: of no further use
+}
+
+// DefaultShared suits machines that answer tests at once over a network of a few milliseconds.
+func DefaultShared() Shared { return Shared{TestAfter: 1, TestFor: 0.5} }
+
+// Line is the state of one such connection. Times are points on one clock.
+type Line struct {
+	Requests int     // without an answer
+	Held     bool    // the machine holds something whose end it will tell
+	Spare    bool    // another connection serves as well
+	Doubted  bool    // a request on it was not answered in time
+	Used     float64 // when a request last went out
+	Heard    float64 // when anything last came in
+	Tested   float64 // when the test went out that is still to be answered; 0 if none is
+	Cut      float64 // since when the last message has been incomplete; 0 if it is not
+}
+
+// Upkeep is what to do with a connection.
+type Upkeep uint8
+
+// The kinds of upkeep.
+const (
+	Leave  Upkeep = iota // nothing
+	Test                 // send a test
+	Retire               // close it: nothing is lost with it
+	Break                // close it: it carries nothing any more, what is open on it has to be taken for lost
+)
+
+// Tend decides for one connection.
+func (p Shared) Tend(now float64, l Line) Upkeep {
+	switch {
+	case l.Cut > 0 && now-l.Cut > p.TestFor:
+		return Break
+	case l.Tested > 0:
+		if now-l.Tested > p.TestFor {
+			return Break
+		}
+	case l.Doubted && l.Requests == 0 && l.Spare:
+		return Retire
+	case l.Doubted, (l.Requests > 0 || l.Held) && now-max(l.Heard, l.Used) > p.TestAfter:
+		return Test
+	case l.Requests == 0 && p.MaxIdle > 0 && now-l.Used > p.MaxIdle && (!l.Held || l.Spare):
+		return Retire
+	}
+	return Leave
+}
+
+// Reach judges from connections and dials whether a machine that holds tasks is still there. A machine that has vanished or is cut off gives
+// no sign: open connections stay silent and new ones never come up. One whose process has ended refuses.
+type Reach struct {
+	Silent  float64 // seconds without any word, dials failing, after which it is taken for lost
+	Refused float64 // and seconds of refusals
+
+	word, refused float64
+}
+
+// Word tells that something came from the machine, or that a connection came up.
+func (r *Reach) Word(now float64) { r.word, r.refused = now, 0 }
+
+// Failed tells that a dial failed, and whether it was refused rather than left without an answer.
+func (r *Reach) Failed(now float64, refused bool) {
+	if r.word == 0 {
+		r.word = now
+	}
+	switch {
+	case !refused:
+		r.refused = 0
+	case r.refused == 0:
+		r.refused = now
+	}
+}
+
+// Lost says whether the machine is to be taken for lost.
+func (r *Reach) Lost(now float64) bool {
+	return r.word > 0 && now-r.word > r.Silent || r.refused > 0 && now-r.refused > r.Refused
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,11 +21,12 @@
 
 // Times in seconds that the protocol gives or leaves open.
 const (
-	owedFor   = 8.0   // a release that found no connection of an owner is owed for so long
-	goneGrace = 1.0   // after the bulletin's word that a machine has gone its tasks are taken for lost
-	bootSlack = 1.0   // clocks and lists are rough: a task bound this near a machine's start is of its new life
-	lateFor   = 5.0   // beyond the time that owners look for a task, an attempt given up is remembered
-	maxLeft   = 600.0 // no class waits so long: a set-up that claims to is not an owner's
+	owedFor     = 8.0   // a release that found no connection of an owner is owed for so long
+	forgetAfter = 60.0  // a machine that has been gone for so long is unknown
+	goneGrace   = 1.0   // after the bulletin's word that a machine has gone its tasks are taken for lost
+	bootSlack   = 1.0   // clocks and lists are rough: a task bound this near a machine's start is of its new life
+	lateFor     = 5.0   // beyond the time that owners look for a task, an attempt given up is remembered
+	maxLeft     = 600.0 // no class waits so long: a set-up that claims to is not an owner's
 )
 
 const (
@@ -95,6 +96,9 @@
 // Live says whether the offer still waits for an answer or stands.
 func (o *Offer) Live() bool { return o.state <= bound }
 
+// Age is how long ago the module made the offer, in seconds.
+func (o *Offer) Age(now float64) float64 { return now - o.sent }
+
 // Open says whether the offer waits for its connection or its answer.
 func (o *Offer) Open() bool { return o.state <= out }
 
@@ -448,7 +452,7 @@
 
 // holds takes over a task that a machine holds already.
 func (c *Core) holds(id ConnID, ow *owner, m *jsonl.Message, x placer.Task, at string) error {
-	nid := nodeNumber(at)
+	nid := NodeNumber(at)
 	for c.nodes[nid] != nil && c.nodes[nid].UID != at {
 		nid++
 	}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,545 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"heathshed/internal/jsonl"
+	"heathshed/internal/proptest"
+	"heathshed/internal/simsettings"
+	"heathshed/placer"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, "300") }
+
+const settings = `{"discovery":"ask","me":0,"myZone":0,"peersTotal":1,"flavors":["std"],"zones":["a","b"],
+ "extra":{"admitMemory":1.5,"apartBy":["none","none"],"classKind":[-1,-1],"checkAfterS":2,"coresByKind":[8],"cpuBooking":2,"freeInList":true,
+  "fullUpTo":[1,0.8],"fadesOver":[1,0.2],"kindMemory":[16],"saysYes":"accepted","youngLimit":12},
+ "lanes":[{"name":"query","effect":"idempotent","hardLimitS":4,"keyScope":"all","objectiveS":1,"worth":1},
+  {"name":"seats","effect":"at_most_once","hardLimitS":5,"keyScope":"all","objectiveS":1,"worth":2}],
+ "orgs":[{"name":"south"}],"loadReport":{"fields":["x0","x1"],"how":"answers"},
+ "permissions":{"mostTries":4,"retryAfter":true,"maxRetryAfterS":3,"connectTimeoutS":0.25},
+ "rules":{"answerSlackS":0.01,"askWithinS":9,"drainGraceS":0.5,"fallS":1,"warmWithinS":8}}`
+
+func target(i int, state string, boot int64) string {
+	return fmt.Sprintf(`{"uid":"s-%08x","endpoint":"10.0.0.%d:1","az":"a","model":"std","pod_group":1,"state":%q,"boot_ms":%d,"open":[16,24]}`,
+		i, i, state, boot)
+}
+
+func roster(no int, all bool, targets ...string) string {
+	return fmt.Sprintf(`{"no":%d,"roster":{"rev":%d,"all":%v,"targets":[%s]}}`, no, no, all, strings.Join(targets, ","))
+}
+
+// world is a core with all that passed between it and the others, and the rules on that.
+type world struct {
+	t       rapid.TB
+	c       *Core
+	now     float64
+	no      int
+	opened  ConnID
+	conns   []ConnID
+	ids     uint64
+	setUps  map[jsonl.ID]*heard
+	sends   []*Offer // wait for their connection
+	outs    []*Offer // sent
+	stands  []*Offer
+	holding map[jsonl.ID]int // offers of a task that are out or stand
+}
+
+// heard is what one owner sent and was told.
+type heard struct {
+	conn              ConnID
+	deadline          float64
+	gone, at          bool
+	answers, releases int
+	standing          bool
+}
+
+func newWorld(t rapid.TB, p Decider) *world {
+	s, err := simsettings.Parse([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p == nil {
+		if p, err = placer.New(s.Placer, 7); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w := &world{t: t, now: 1000, no: 1, setUps: map[jsonl.ID]*heard{}, holding: map[jsonl.ID]int{}}
+	known := `{"no":1,"items":[` + roster(1, true, target(1, "in_service", 0), target(2, "in_service", 0), target(3, "in_service", 0)) + `]}`
+	if w.c, err = New(w.now, s, p, []byte(known)); err != nil {
+		t.Fatal(err)
+	}
+	w.c.Streaming(w.now, true)
+	w.pump()
+	return w
+}
+
+func (w *world) open() ConnID {
+	w.opened++
+	w.c.OwnerOpened(w.now, w.opened)
+	w.conns = append(w.conns, w.opened)
+	w.pump()
+	return w.opened
+}
+
+func (w *world) launch(conn ConnID, class string, left float64, extras string) jsonl.ID {
+	w.ids++
+	m := message(jsonl.Launch, jsonl.ID(w.ids), -1)
+	m.Body = `"in"`
+	for f, v := range map[jsonl.Field]string{jsonl.Class: class, jsonl.Tenant: "south", jsonl.Key: m.UID, jsonl.Left: fmt.Sprint(left),
+		jsonl.Extras: "cores:1;memory:1;service:0000000000000009" + extras} {
+		m.Set(f, v)
+	}
+	w.setUps[m.ID] = &heard{conn: conn, deadline: w.now + left/1000, at: extras != "", standing: extras != ""}
+	if err := w.c.FromOwner(w.now, conn, &m); err != nil {
+		w.t.Fatalf("launch: %v", err)
+	}
+	w.pump()
+	return m.ID
+}
+
+func message(k jsonl.Kind, id jsonl.ID, cause int) jsonl.Message {
+	return jsonl.Message{Kind: k, ID: id, UID: fmt.Sprintf("%016x", uint64(id)), Reason: max(cause, 0), HasReason: cause >= 0}
+}
+
+func (w *world) node(o *Offer, m jsonl.Message) {
+	w.c.FromNode(w.now, o.Node, &m)
+	w.pump()
+}
+
+// pump carries out the effects and holds them against the rules.
+func (w *world) pump() {
+	for _, e := range w.c.Ready() {
+		switch e.Kind {
+		case Send:
+			w.sends = append(w.sends, e.Offer)
+		case Tell:
+			h := w.setUps[e.Message.ID]
+			if h == nil {
+				w.t.Fatalf("told %v of a set-up that nobody sent", e.Message)
+			}
+			switch {
+			case e.Message.Kind == jsonl.Running:
+				if h.answers++; h.gone || h.at || e.Conn != h.conn || e.Message.Body != `"out"` || w.now > h.deadline+0.01 {
+					w.t.Fatalf("answer %v at %v to %+v on %d", e.Message, w.now, h, e.Conn)
+				}
+				h.standing = true
+			case h.standing:
+				if h.releases++; h.releases > 1 {
+					w.t.Fatalf("second release %v", e.Message)
+				}
+			default:
+				if h.answers++; h.gone || w.now > h.deadline+0.011 {
+					w.t.Fatalf("refusal %v at %v to %+v", e.Message, w.now, h)
+				}
+			}
+			if h.answers > 1 {
+				w.t.Fatalf("second answer %v", e.Message)
+			}
+		}
+	}
+}
+
+// start lets an offer that waits go out. Its task may have no other out.
+func (w *world) start(i int) {
+	o := w.sends[i]
+	w.sends = append(w.sends[:i], w.sends[i+1:]...)
+	if !w.c.MayStart(w.now, o) {
+		w.pump()
+		return
+	}
+	for _, x := range append(w.outs, w.stands...) {
+		if x != o && x.t == o.t && x.Live() {
+			w.t.Fatalf("two attempts of %s are out", o.Message.UID)
+		}
+	}
+	if n := w.c.Node(o.Node); n.State != placer.Ready || w.now >= o.until {
+		w.t.Fatalf("offer to a machine in state %d at %v, until %v", n.State, w.now, o.until)
+	}
+	w.outs = append(w.outs, o)
+	w.pump()
+}
+
+func (w *world) advance(by float64) {
+	to := w.now + by
+	for w.c.Due() <= to {
+		w.now = max(w.now, w.c.Due())
+		w.c.Advance(w.now)
+		w.pump()
+	}
+	w.now = to
+}
+
+// TestEveryOrder plays owners, machines and connections in any order: each set-up gets one answer in time unless its owner gave it up, no
+// two attempts of a task are out at once, what stood is released once, and in the end nothing is held.
+func TestEveryOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, nil)
+		w.open()
+		some := func(n int, what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
+		steps := rapid.IntRange(1, 120).Draw(t, "steps")
+		for range steps {
+			switch some(14, "step") {
+			case 0, 1, 2:
+				if len(w.conns) > 0 {
+					class := []string{"query", "seats"}[some(2, "class")]
+					w.launch(w.conns[some(len(w.conns), "conn")], class, float64(some(4000, "left")), "")
+				}
+			case 3, 4, 5:
+				if len(w.sends) > 0 {
+					w.start(some(len(w.sends), "send"))
+				}
+			case 6:
+				if len(w.sends) > 0 {
+					i := some(len(w.sends), "send")
+					w.c.Unreachable(w.now, w.sends[i])
+					w.sends = append(w.sends[:i], w.sends[i+1:]...)
+					w.pump()
+				}
+			case 7, 8:
+				if len(w.outs) > 0 {
+					o := w.outs[some(len(w.outs), "out")]
+					m := message(jsonl.Running, o.Message.ID, -1)
+					m.Body = `"out"`
+					w.node(o, m)
+					if o.state == bound {
+						w.stands = append(w.stands, o)
+					}
+				}
+			case 9:
+				if len(w.outs) > 0 {
+					w.node(w.outs[some(len(w.outs), "out")],
+						message(jsonl.Stop, w.outs[some(len(w.outs), "of")].Message.ID, []int{16, 31, 34, 41, 47, 102, 5}[some(7, "cause")]))
+				}
+			case 10:
+				if len(w.outs) > 0 {
+					w.c.Broken(w.now, w.outs[some(len(w.outs), "out")])
+					w.pump()
+				}
+			case 11:
+				if w.ids > 0 {
+					id := jsonl.ID(1 + some(int(w.ids), "id"))
+					if h := w.setUps[id]; w.c.owners[h.conn] != nil {
+						h.gone = h.gone || h.answers == 0
+						m := message(jsonl.Stop, id, 16)
+						if err := w.c.FromOwner(w.now, h.conn, &m); err != nil {
+							t.Fatal(err)
+						}
+						w.pump()
+					}
+				}
+			case 12:
+				switch some(4, "event") {
+				case 0:
+					if len(w.conns) < 5 {
+						w.open()
+					}
+				case 1:
+					if len(w.conns) > 0 {
+						i := some(len(w.conns), "conn")
+						for _, h := range w.setUps {
+							h.gone = h.gone || h.conn == w.conns[i] && h.answers == 0
+						}
+						w.c.OwnerClosed(w.now, w.conns[i])
+						w.conns = append(w.conns[:i], w.conns[i+1:]...)
+						w.pump()
+					}
+				default:
+					w.no++
+					ev := roster(w.no, false, target(1+some(5, "node"), []string{"in_service", "terminating", "terminated"}[some(3, "state")],
+						int64(some(3, "boot"))*int64(w.now*1000)))
+					if ok, err := w.c.Bulletin(w.now, []byte(ev)); !ok || err != nil {
+						t.Fatal(ok, err)
+					}
+					w.pump()
+				}
+			default:
+				w.advance(float64(some(2000, "ms")) / 1000)
+			}
+		}
+		w.settle()
+	})
+}
+
+// settle ends all that stands, waits until everything is over, and looks at what is left.
+func (w *world) settle() {
+	w.advance(10)
+	for _, o := range append([]*Offer(nil), w.stands...) {
+		w.node(o, message(jsonl.Stop, o.Message.ID, jsonl.CauseEnd))
+	}
+	w.open()
+	hello := message(jsonl.Check, 1<<60, 0)
+	w.setUps[hello.ID] = &heard{standing: true}
+	if err := w.c.FromOwner(w.now, w.opened, &hello); err != nil {
+		w.t.Fatal(err)
+	}
+	w.pump()
+	w.advance(30)
+	for id, h := range w.setUps {
+		if h.answers == 0 && !h.gone && !h.at && id != hello.ID {
+			w.t.Fatalf("set-up %x was never answered: %+v", uint64(id), h)
+		}
+	}
+	c := w.c
+	if c.Open() != 0 || c.Standing() != 0 || len(c.tasks) != 0 || len(c.byID) != 0 || len(c.places) != 0 || len(c.owed) != 0 {
+		w.t.Fatalf("left: %d open, %d standing, %d tasks, %d ids, %d places, %d owed", c.Open(), c.Standing(), len(c.tasks), len(c.byID),
+			len(c.places), len(c.owed))
+	}
+}
+
+// script is a module that offers each task to machine 1 and does nothing else of its own accord.
+type script struct {
+	to     placer.NodeID
+	events []placer.Event
+}
+
+func (s *script) Handle(_ float64, ev placer.Event, actions []placer.Action) []placer.Action {
+	s.events = append(s.events, ev)
+	switch {
+	case ev.Kind == placer.Arrived:
+		return append(actions, placer.Action{Kind: placer.Offer, Task: ev.ID, Node: s.to, Until: ev.Task.Deadline})
+	case ev.Kind == placer.Ended && !ev.Over:
+		return append(actions, placer.Action{Kind: placer.Refuse, Task: ev.ID, After: 1.5})
+	}
+	return actions
+}
+
+func (s *script) last() placer.Event { return s.events[len(s.events)-1] }
+
+func standing(t *testing.T, class string) (*world, *script, *Offer) {
+	t.Helper()
+	s := &script{to: NodeNumber("s-00000001")}
+	w := newWorld(t, s)
+	w.launch(w.open(), class, 2000, "")
+	w.start(0)
+	return w, s, w.outs[0]
+}
+
+func accept(w *world, o *Offer) {
+	m := message(jsonl.Running, o.Message.ID, -1)
+	m.Body = `"out"`
+	w.node(o, m)
+}
+
+func TestLateAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name, class string
+		gone        bool
+		released    bool
+	}{
+		{"a task that may run twice is released", "query", false, true},
+		{"one that must not is left to its owner's inquiry", "seats", false, false},
+		{"one whose owner gave it up is released", "seats", true, true},
+	} {
+		w, _, o := standing(t, c.class)
+		if c.gone {
+			m := message(jsonl.Stop, o.Message.ID, 16)
+			w.setUps[m.ID].gone = true
+			if err := w.c.FromOwner(w.now, 1, &m); err != nil {
+				t.Fatal(err)
+			}
+			w.pump()
+		} else {
+			w.advance(2.005)
+		}
+		m := message(jsonl.Running, o.Message.ID, -1)
+		m.Body = `"out"`
+		w.c.FromNode(w.now, o.Node, &m)
+		released := false
+		for _, e := range w.c.Ready() {
+			released = released || e.Kind == Release && e.Message.Kind == jsonl.Stop
+		}
+		if released != c.released || w.c.Standing() != 0 {
+			t.Errorf("%s: released %v", c.name, released)
+		}
+	}
+}
+
+func TestReleaseFindsAnOwner(t *testing.T) {
+	told := func(w *world) (conns []ConnID) {
+		for _, e := range w.c.Ready() {
+			if e.Kind == Tell && e.Message.Kind == jsonl.Stop {
+				conns = append(conns, e.Conn)
+			}
+		}
+		return conns
+	}
+	end := func(w *world, o *Offer) {
+		m := message(jsonl.Stop, o.Message.ID, jsonl.CauseEnd)
+		w.c.FromNode(w.now, o.Node, &m)
+	}
+	w, _, o := standing(t, "seats")
+	accept(w, o)
+	stranger := w.open()
+	end(w, o)
+	if got := told(w); len(got) != 1 || got[0] != 1 {
+		t.Fatalf("own connection is open, told on %v", got)
+	}
+	w, _, o = standing(t, "seats")
+	accept(w, o)
+	stranger = w.open() // says nothing
+	w.c.OwnerClosed(w.now, 1)
+	end(w, o)
+	if got := told(w); len(got) != 0 || w.c.Counts.Owed != 1 {
+		t.Fatalf("told on %v, a stranger has %d", got, stranger)
+	}
+	next := w.open()
+	m := message(jsonl.Check, 77, 0)
+	if err := w.c.FromOwner(w.now+7, next, &m); err != nil {
+		t.Fatal(err)
+	}
+	if got := told(w); len(got) != 1 || got[0] != next {
+		t.Fatalf("told on %v", got)
+	}
+	if err := w.c.FromOwner(w.now+7, next, &m); err != nil || len(told(w)) != 0 {
+		t.Fatal("told twice")
+	}
+}
+
+func TestTasksHeldAlready(t *testing.T) {
+	w := newWorld(t, nil)
+	conn := w.open()
+	id := w.launch(conn, "seats", 4294967, ";at:s-00000002")
+	if w.c.Standing() != 1 || w.c.Open() != 0 {
+		t.Fatal("not taken over")
+	}
+	again := w.setUps[id]
+	w.ids--
+	w.launch(conn, "seats", 4294967, ";at:s-00000002") // named twice
+	w.setUps[id] = again
+	if w.c.Standing() != 1 {
+		t.Fatal("taken over twice")
+	}
+	w.c.FromNode(w.now, NodeNumber("s-00000002"), &jsonl.Message{Kind: jsonl.Stop, ID: id, Reason: 16, HasReason: true})
+	w.pump()
+	if again.releases != 1 || w.c.Standing() != 0 {
+		t.Fatalf("%+v", again)
+	}
+}
+
+func TestMachinesThatGoOrBeginAnew(t *testing.T) {
+	for name, ev := range map[string]string{
+		"terminated":  roster(2, false, target(1, "terminated", 0)),
+		"left out":    roster(2, true, target(2, "in_service", 0)),
+		"a new start": roster(2, false, target(1, "in_service", 2000_000)),
+	} {
+		w, s, o := standing(t, "query")
+		accept(w, o)
+		h := w.setUps[o.Message.ID]
+		w.now += 3
+		if _, err := w.c.Bulletin(w.now, []byte(ev)); err != nil {
+			t.Fatal(err)
+		}
+		w.pump()
+		w.advance(goneGrace + 0.01)
+		if h.releases != 1 || s.last().Result != placer.Lost {
+			t.Errorf("%s: %+v, last event %+v", name, h, s.last())
+		}
+	}
+}
+
+func TestBulletin(t *testing.T) {
+	w := newWorld(t, nil)
+	for _, c := range []struct {
+		ev      string
+		ok, bad bool
+		last    uint64
+	}{
+		{roster(2, false, target(4, "in_service", 0)), true, false, 2},
+		{roster(2, false, target(4, "terminated", 0)), true, false, 2},  // had already
+		{roster(4, false, target(4, "terminated", 0)), false, false, 2}, // a gap
+		{roster(3, false, target(4, "terminating", 0))[:40], false, true, 2},
+		{roster(3, false, target(4, "sleeping", 0)), false, true, 2},
+		{`{"no":3,"other":{}}`, true, false, 3},
+		{roster(4, false, target(4, "terminating", 0)), true, false, 4},
+	} {
+		if ok, err := w.c.Bulletin(w.now, []byte(c.ev)); ok != c.ok || (err != nil) != c.bad || w.c.Last() != c.last {
+			t.Errorf("%s: ok %v, %v, last %d", c.ev, ok, err, w.c.Last())
+		}
+	}
+	if n := w.c.Node(NodeNumber("s-00000004")); n.State != placer.Draining {
+		t.Errorf("state %d", n.State)
+	}
+}
+
+func TestSetUpsThatMakeNoSense(t *testing.T) {
+	w := newWorld(t, nil)
+	conn := w.open()
+	id := w.launch(conn, "query", 1000, "")
+	for name, change := range map[string]func(*jsonl.Message){
+		"class":        func(m *jsonl.Message) { m.Set(jsonl.Class, "gold") },
+		"tenant":       func(m *jsonl.Message) { m.Set(jsonl.Tenant, "north") },
+		"key":          func(m *jsonl.Message) { m.Set(jsonl.Key, "x") },
+		"body":         func(m *jsonl.Message) { m.Body = "" },
+		"left":         func(m *jsonl.Message) { m.Set(jsonl.Left, "-1") },
+		"left huge":    func(m *jsonl.Message) { m.Set(jsonl.Left, "1e300") },
+		"left NaN":     func(m *jsonl.Message) { m.Set(jsonl.Left, "NaN") },
+		"cores":        func(m *jsonl.Message) { m.Set(jsonl.Extras, "cores:-1;memory:1") },
+		"cores Inf":    func(m *jsonl.Message) { m.Set(jsonl.Extras, "cores:Inf;memory:1") },
+		"no memory":    func(m *jsonl.Message) { m.Set(jsonl.Extras, "cores:1") },
+		"service":      func(m *jsonl.Message) { m.Set(jsonl.Extras, "cores:1;memory:1;service:zz") },
+		"at":           func(m *jsonl.Message) { m.Set(jsonl.Extras, "cores:1;memory:1;at:s-77777777") },
+		"an id in use": func(m *jsonl.Message) { m.ID, m.UID = id, fmt.Sprintf("%016x", uint64(id)) },
+	} {
+		m := w.setUpMessage(99)
+		change(&m)
+		other := w.open()
+		err := w.c.FromOwner(w.now, other, &m)
+		out := w.c.Ready()
+		if err == nil || len(out) != 1 || out[0].Kind != Tell || out[0].Conn != other || out[0].Message.Reason != jsonl.CauseError {
+			t.Errorf("%s: %v, %+v", name, err, out)
+		}
+	}
+	if w.c.Open() != 1 {
+		t.Errorf("%d open", w.c.Open())
+	}
+}
+
+func (w *world) setUpMessage(id jsonl.ID) jsonl.Message {
+	m := message(jsonl.Launch, id, -1)
+	m.Body = `"in"`
+	for f, v := range map[jsonl.Field]string{jsonl.Class: "query", jsonl.Tenant: "south", jsonl.Key: m.UID, jsonl.Left: "1000",
+		jsonl.Extras: "cores:1;memory:1"} {
+		m.Set(f, v)
+	}
+	return m
+}
+
+// TestChurn: thousands of machines, connections and tasks come and go, and all tables are back at their size.
+func TestChurn(t *testing.T) {
+	w := newWorld(t, nil)
+	for i := range 3000 {
+		conn := w.open()
+		w.launch(conn, "query", 500, "")
+		for len(w.sends) > 0 {
+			w.start(0)
+		}
+		for _, o := range w.outs {
+			accept(w, o)
+			if i%2 == 0 {
+				w.node(o, message(jsonl.Stop, o.Message.ID, jsonl.CauseEnd))
+			}
+		}
+		w.outs, w.stands = nil, w.outs // of earlier ones the machine is gone
+		w.no++
+		if _, err := w.c.Bulletin(w.now, []byte(roster(w.no, false, target(i+4, "in_service", 0), target(i+1, "terminated", 0)))); err != nil {
+			t.Fatal(err)
+		}
+		w.advance(0.2)
+		w.c.OwnerClosed(w.now, conn)
+		w.pump()
+	}
+	w.conns = nil
+	w.settle()
+	w.advance(forgetAfter)
+	if n := len(w.c.nodes); n > 4 {
+		t.Errorf("%d machines are still known", n)
+	}
+	if n := w.c.timers.Len(); n > 20 {
+		t.Errorf("%d timers", n)
+	}
+}
--- a/internal/dispatch/offers.go
+++ b/internal/dispatch/offers.go
@@ -275,13 +275,36 @@
 		return
 	}
 	at := n.toldAt
+	if n.lostAt == at {
+		return // is looked after
+	}
+	n.lostAt = at
 	c.timers.Add(max(c.now, at+goneGrace), func() {
+		n.lostAt = 0
 		if n.State == placer.Gone && n.toldAt == at {
 			c.NodeLost(c.now, n.ID)
 		}
 	})
 }
 
+// forgetSoon takes a machine that has gone for good out of the books.
+func (c *Core) forgetSoon(n *Node) {
+	if n.leaving {
+		return
+	}
+	n.leaving = true
+	c.timers.Add(max(n.toldAt+forgetAfter, c.now+goneGrace), func() {
+		n.leaving = false
+		switch {
+		case n.State != placer.Gone:
+		case len(n.standing) > 0 || n.toldAt+forgetAfter > c.now:
+			c.forgetSoon(n)
+		default:
+			delete(c.nodes, n.ID)
+		}
+	})
+}
+
 // NodeLost ends all that stands at a machine.
 func (c *Core) NodeLost(now float64, id placer.NodeID) {
 	c.tick(now)
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -48,14 +48,16 @@
 	entry    placer.Node
 	standing map[*Offer]struct{}
 	toldAt   float64 // when its state last changed
+	lostAt   float64 // the toldAt for which its tasks are about to be taken for lost
+	leaving  bool    // a timer is to forget it
 }
 
 // Standing is the number of tasks that stand at the machine.
 func (n *Node) Standing() int { return len(n.standing) }
 
-// nodeNumber is the module's number for a machine: the same at every scheduler, since all of them sort and draw by it. It has 48 bits, as
+// NodeNumber is the module's number for a machine: the same at every scheduler, since all of them sort and draw by it. It has 48 bits, as
 // many as an address on the simulator's wire.
-func nodeNumber(uid string) placer.NodeID {
+func NodeNumber(uid string) placer.NodeID {
 	return placer.NodeID(xxhash.Sum64String(uid) & (1<<48 - 1))
 }
 
@@ -77,7 +79,7 @@
 	listed := map[placer.NodeID]bool{}
 	for i := range r.Targets {
 		e := &r.Targets[i]
-		id := nodeNumber(e.UID)
+		id := NodeNumber(e.UID)
 		for c.nodes[id] != nil && c.nodes[id].UID != e.UID {
 			id++ // two names with one number
 		}
@@ -158,6 +160,7 @@
 	for _, n := range c.nodes {
 		if n.State == placer.Gone {
 			c.goneSoon(n)
+			c.forgetSoon(n)
 			continue
 		}
 		for o := range n.standing {
--- /dev/null
+++ b/internal/jsonl/jsonl_test.go
@@ -0,0 +1,105 @@
+package jsonl
+
+import (
+	"encoding/json"
+	"errors"
+	"runtime"
+	"strings"
+	"testing"
+)
+
+const launch = `{"kind":"launch","uid":"9b1f03aa5c7e2d41","meta":{"class":"batch","left":1500},"body":"9d\u0034\r\nc=IN \/ \ud83d\ude00 é"}`
+
+func TestMessagesPassUnchanged(t *testing.T) {
+	var m, again Message
+	if err := Parse([]byte(launch), &m); err != nil {
+		t.Fatal(err)
+	}
+	if m.Kind != Launch || m.ID != 0x9b1f03aa5c7e2d41 || m.Get(Left) != "1500" || m.Get(Class) != "batch" || m.Has(Wait) || m.HasReason {
+		t.Fatalf("%+v", m)
+	}
+	if want := launch[strings.Index(launch, `"9d`) : len(launch)-1]; m.Body != want {
+		t.Fatalf("body %s, want it as it was written: %s", m.Body, want)
+	}
+	m.Set(Extras, "a\"b\\c\x01")
+	m.Reason, m.HasReason = 34, true
+	line := m.Append(nil)
+	if err := Parse(line[:len(line)-1], &again); err != nil || again != m {
+		t.Fatalf("%v\n%+v\n%+v", err, m, again)
+	}
+	if !json.Valid(line) {
+		t.Fatalf("%s", line)
+	}
+}
+
+func TestBadLines(t *testing.T) {
+	id := `"uid":"9b1f03aa5c7e2d41"`
+	for name, line := range map[string]string{
+		"empty":              ``,
+		"no object":          `[1]`,
+		"cut":                launch[:60],
+		"more after it":      launch + `{}`,
+		"no id":              `{"kind":"stop"}`,
+		"no kind":            `{` + id + `}`,
+		"short id":           `{"kind":"stop","uid":"9b1f"}`,
+		"id no hex":          `{"kind":"stop","uid":"9b1f03aa5c7e2d4g"}`,
+		"id a number":        `{"kind":"stop","uid":9}`,
+		"unknown kind":       `{"kind":"destroy",` + id + `}`,
+		"twice":              `{"kind":"stop",` + id + `,` + id + `}`,
+		"field twice":        `{"kind":"stop",` + id + `,"meta":{"left":1,"left":2}}`,
+		"field an object":    `{"kind":"stop",` + id + `,"meta":{"left":{}}}`,
+		"meta a list":        `{"kind":"stop",` + id + `,"meta":[]}`,
+		"reason no number":   `{"kind":"stop",` + id + `,"reason":"34"}`,
+		"reason a fraction":  `{"kind":"stop",` + id + `,"reason":3.5}`,
+		"reason huge":        `{"kind":"stop",` + id + `,"reason":1e400}`,
+		"not UTF-8":          "{\"kind\":\"stop\"," + id + ",\"body\":\"\xff\"}",
+		"half a surrogate":   `{"kind":"stop",` + id + `,"body":"\ud83d"}`,
+		"other half":         `{"kind":"stop",` + id + `,"body":"\ude00x"}`,
+		"control character":  "{\"kind\":\"stop\"," + id + ",\"body\":\"\x01\"}",
+		"bad escape":         `{"kind":"stop",` + id + `,"body":"\x41"}`,
+		"leading zero":       `{"kind":"stop",` + id + `,"meta":{"left":01}}`,
+		"body not a string":  `{"kind":"launch",` + id + `,"body":{"a":1}}`,
+		"nested":             `{"kind":"stop",` + id + `,"x":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `}`,
+		"more than a line":   `{"kind":"stop",` + id + `,"body":"` + strings.Repeat("a", MaxLine) + `"}`,
+		"comma without more": `{"kind":"stop",` + id + `,}`,
+	} {
+		var m Message
+		if err := Parse([]byte(line), &m); err == nil {
+			t.Errorf("%s: taken as %+v", name, m)
+		} else if name == "more than a line" && !errors.Is(err, ErrTooLong) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	var m Message
+	if err := Parse([]byte(`{"kind":"stop",`+id+`,"more":{"a":[1,null,true,{"b":"c"}]},"meta":{"other":[]}}`), &m); err != nil {
+		t.Errorf("unknown keys are to be skipped: %v", err)
+	}
+}
+
+// FuzzLine holds the codec against encoding/json: what is taken is JSON, and what is written is read as the same. Memory is bounded by
+// the length of the line.
+func FuzzLine(f *testing.F) {
+	f.Add([]byte(launch))
+	f.Add([]byte(`{"kind":"stop","uid":"9b1f03aa5c7e2d41","meta":{"load":"x0:1;x1:2"},"reason":-1}`))
+	f.Add([]byte(`{"kind":"check","uid":"0000000000000001","z":[[[{}]]]}`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var m, again Message
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		err := Parse(in, &m)
+		runtime.ReadMemStats(&after)
+		if spent := after.TotalAlloc - before.TotalAlloc; spent > uint64(16*len(in)+64<<10) {
+			t.Fatalf("%d bytes for a line of %d", spent, len(in))
+		}
+		if err != nil {
+			return
+		}
+		if !json.Valid(in) {
+			t.Fatalf("taken, but no JSON: %q", in)
+		}
+		line := m.Append(nil)
+		if err := Parse(line[:len(line)-1], &again); (err != nil || again != m) && len(line) < MaxLine {
+			t.Fatalf("%v: written as %s", err, line)
+		}
+	})
+}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -6,18 +6,25 @@
 	"errors"
 	"slices"
 
+	"golang.org/x/sys/unix"
+
 	"heathshed/internal/backoff"
+	"heathshed/internal/connpool"
 	"heathshed/internal/dispatch"
 	"heathshed/internal/jsonl"
 	"heathshed/internal/loop"
 	"heathshed/placer"
 )
 
+// A machine that holds tasks is taken for lost after these times in seconds. Owners are to know within 8 s of the end; refusals may be a
+// process that is being started again.
 const (
-	checkEvery = 2.0 // while tasks stand at a machine, its connection is tested so often
-	owedBytes  = 64 << 10
+	silentFor  = 6.0
+	refusedFor = 1.0
 )
 
+const owedBytes = 64 << 10 // of releases that wait for a connection, for each machine
+
 // link is all connections to one machine, told apart by its uid: another machine may sit where it was.
 type link struct {
 	s       *Server
@@ -29,26 +36,25 @@
 	owed    []byte            // releases for a machine that no connection reaches
 	retry   backoff.Backoff
 	retryAt float64
+	reach   connpool.Reach
+	holds   bool
 }
 
 // nodeConn is one connection to a machine.
 type nodeConn struct {
-	k       *link
-	no      uint64
-	lc      *loop.Conn
-	offers  map[*dispatch.Offer]struct{}
-	up      bool
-	suspect bool // an offer on it was not answered in time
-	heard   float64
-	used    float64
-	checked float64
-	m       jsonl.Message
+	k      *link
+	no     uint64
+	lc     *loop.Conn
+	offers map[*dispatch.Offer]struct{}
+	up     bool
+	line   connpool.Line
+	m      jsonl.Message
 }
 
 func (s *Server) link(id placer.NodeID) *link {
 	k := s.links[id]
 	if k == nil {
-		k = &link{s: s, id: id, retry: backoff.Backoff{Min: 0.2, Max: 2}}
+		k = &link{s: s, id: id, retry: backoff.Backoff{Min: 0.2, Max: 1}, reach: connpool.Reach{Silent: silentFor, Refused: refusedFor}}
 		if n := s.c.Node(id); n != nil {
 			k.addr = n.Addr
 		}
@@ -100,13 +106,17 @@
 	k.dial()
 }
 
+// usable is a connection that offers may go out on: one that has left neither an offer nor a test unanswered. The one heard of last comes
+// first.
 func (k *link) usable() *nodeConn {
+	var best *nodeConn
 	for _, c := range k.conns {
-		if !c.suspect {
-			return c
+		if !c.line.Doubted && c.line.Cut == 0 && (c.line.Tested == 0 || k.s.l.Now()-c.line.Tested < housekeeping) &&
+			(best == nil || c.line.Heard > best.line.Heard) {
+			best = c
 		}
 	}
-	return nil
+	return best
 }
 
 func (k *link) dial() {
@@ -139,6 +149,7 @@
 	s := k.s
 	s.stats.DialsFailed++
 	k.retryAt = s.l.Now() + k.retry.Next(0.5)
+	k.reach.Failed(s.l.Now(), errors.Is(err, unix.ECONNREFUSED))
 	q := k.queue
 	k.queue = nil
 	for _, o := range q {
@@ -155,7 +166,7 @@
 			continue
 		}
 		for _, c := range k.conns {
-			if len(c.offers) == 0 && (worst == nil || c.used < worst.used) {
+			if len(c.offers) == 0 && (worst == nil || c.line.Used < worst.line.Used) {
 				worst = c
 			}
 		}
@@ -172,25 +183,27 @@
 	}
 	o.Line = c
 	c.offers[o] = struct{}{}
-	c.used = s.l.Now()
+	c.line.Used = s.l.Now()
 	s.trace(">node", c.no, c.lc.Peer(), &o.Message)
 	c.lc.SetOut(o.Message.Append(c.lc.Out()))
 }
 
 // release sends a message about an offer to its machine.
 func (k *link) release(e *dispatch.Effect) {
+	s := k.s
 	c, _ := e.Offer.Line.(*nodeConn)
 	if c != nil {
 		delete(c.offers, e.Offer)
-		if e.TimedOut && !c.suspect {
-			c.suspect = true
-			k.s.stats.Suspects++
-		}
 	}
 	if c == nil || c.lc.Closed() {
 		if c = k.usable(); c == nil && len(k.conns) > 0 {
 			c = k.conns[0]
 		}
+	} else if e.TimedOut && !c.line.Doubted {
+		// Slow, or carrying nothing any more: a test tells.
+		c.line.Doubted = true
+		s.stats.Doubted++
+		defer c.test()
 	}
 	if c == nil {
 		if len(k.owed) < owedBytes {
@@ -198,30 +211,50 @@
 		}
 		return
 	}
-	k.s.trace(">node", c.no, c.lc.Peer(), &e.Message)
+	s.trace(">node", c.no, c.lc.Peer(), &e.Message)
 	c.lc.SetOut(e.Message.Append(c.lc.Out()))
-	c.used = k.s.l.Now()
 }
 
-// keep closes what is idle and sees to it that a machine that holds tasks can say how they end.
+func (c *nodeConn) test() {
+	if c.line.Tested == 0 {
+		c.line.Tested = c.k.s.l.Now()
+		c.lc.SetOut(check.Append(c.lc.Out()))
+	}
+}
+
+// keep closes connections that are idle or of no further use, and sees to it that a machine that holds tasks can say how they end.
 func (k *link) keep() {
 	s := k.s
 	now := s.l.Now()
 	n := s.c.Node(k.id)
 	holds := n != nil && n.Standing() > 0
-	idle := s.cfg.Settings.ConnIdle * 0.6
+	if holds && !k.holds {
+		k.reach.Word(now) // what came of it before says nothing of these tasks
+	}
+	k.holds = holds
 	for _, c := range slices.Clone(k.conns) {
-		switch {
-		case c.suspect && len(c.offers) == 0:
+		c.line.Requests, c.line.Held, c.line.Spare = len(c.offers), holds, len(k.conns) > 1
+		switch s.shared.Tend(now, c.line) {
+		case connpool.Test:
+			c.test()
+		case connpool.Retire:
 			c.lc.Close()
-		case holds && now-max(c.used, c.checked) > checkEvery && len(k.conns) == 1:
-			c.checked = now
-			c.lc.SetOut(check.Append(c.lc.Out()))
-		case idle > 0 && len(c.offers) == 0 && now-c.used > idle && (!holds || len(k.conns) > 1):
+		case connpool.Break:
+			s.stats.Broken++
 			c.lc.Close()
 		}
 	}
-	if (holds || len(k.owed) > 0) && len(k.conns) == 0 && k.dialing == nil && now >= k.retryAt && n != nil && n.State != placer.Gone {
+	if !holds && len(k.owed) == 0 || len(k.conns) > 0 {
+		return
+	}
+	if holds && k.reach.Lost(now) {
+		s.stats.MachinesLost++
+		s.log.Warn().Str("machine", n.UID).Int("tasks", n.Standing()).Msg("machine taken for lost")
+		s.c.NodeLost(now, k.id)
+		k.owed = nil
+		return
+	}
+	if k.dialing == nil && now >= k.retryAt && n != nil && (holds || n.State != placer.Gone) {
 		k.dial()
 	}
 }
@@ -231,7 +264,8 @@
 func (c *nodeConn) Opened(lc *loop.Conn) {
 	k := c.k
 	s := k.s
-	c.up, c.heard, c.used = true, s.l.Now(), s.l.Now()
+	c.up, c.line.Heard, c.line.Used = true, s.l.Now(), s.l.Now()
+	k.reach.Word(s.l.Now())
 	if k.dialing == c {
 		k.dialing = nil
 	}
@@ -253,7 +287,8 @@
 
 func (c *nodeConn) Data(lc *loop.Conn, b []byte) int {
 	s := c.k.s
-	c.heard = s.l.Now()
+	c.line.Heard = s.l.Now()
+	c.k.reach.Word(c.line.Heard)
 	n, err := s.lines(lc, b, func(line []byte) error {
 		if err := jsonl.Parse(line, &c.m); err != nil {
 			return err
@@ -261,11 +296,21 @@
 		if c.m.Kind == jsonl.Launch || c.m.Kind == jsonl.Check {
 			return errStrange
 		}
-		s.trace("node>", uint64(c.no), lc.Peer(), &c.m)
+		s.trace("node>", c.no, lc.Peer(), &c.m)
+		if c.m.Kind == jsonl.Checked {
+			c.line.Tested, c.line.Doubted = 0, false
+			return nil
+		}
 		s.c.FromNode(s.l.Now(), c.k.id, &c.m)
 		return nil
 	})
 	c.settle()
+	switch {
+	case n == len(b):
+		c.line.Cut = 0
+	case n > 0 || c.line.Cut == 0:
+		c.line.Cut = s.l.Now()
+	}
 	s.pump()
 	if err != nil && !lc.Closed() {
 		s.stats.BadNodeLines++
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 
+	"heathshed/internal/budget"
 	"heathshed/internal/dispatch"
 	"heathshed/internal/jsonl"
 	"heathshed/internal/loop"
@@ -95,22 +96,17 @@
 	}
 }
 
-// makeRoom closes the connection that is missed least: one without a set-up open, strangers before those that had tasks stand, the longest
-// idle first.
+// makeRoom closes the connection that is missed least.
 func (s *Server) makeRoom() {
-	var worst *ownerConn
-	worstGood := false
+	now := s.l.Now()
+	s.guests, s.guestOf = s.guests[:0], s.guestOf[:0]
 	for _, oc := range s.owners {
 		open, good := s.c.OwnerOpen(oc.id)
-		if open > 0 || oc.opened == s.l.Now() {
-			continue
-		}
-		if worst == nil || worstGood && !good || worstGood == good && oc.last < worst.last {
-			worst, worstGood = oc, good
-		}
+		s.guests = append(s.guests, budget.Guest{Busy: open > 0 || oc.opened == now, Known: good, Idle: now - oc.last})
+		s.guestOf = append(s.guestOf, oc)
 	}
-	if worst != nil {
+	if i := budget.Missed(s.guests); i >= 0 {
 		s.stats.Crowded++
-		worst.lc.Close()
+		s.guestOf[i].lc.Close()
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,6 +10,8 @@
 
 	"github.com/rs/zerolog"
 
+	"heathshed/internal/budget"
+	"heathshed/internal/connpool"
 	"heathshed/internal/dispatch"
 	"heathshed/internal/jsonl"
 	"heathshed/internal/loop"
@@ -20,7 +22,7 @@
 const (
 	strangerFor   = 2.0  // a connection that has nothing under way and never had is closed after this; the platform allows 3
 	acceptAfter   = 0.85 // after the signal to stop, connections and set-ups come for 0.7 s at most
-	housekeeping  = 0.25
+	housekeeping  = 0.1
 	reportEvery   = 10.0
 	leastSockets  = 64
 	spareSockets  = 16 // files, the loop's own descriptors, the bulletin's
@@ -42,7 +44,10 @@
 	owners    map[dispatch.ConnID]*ownerConn
 	nextOwner dispatch.ConnID
 	maxOwners int
+	guests    []budget.Guest // scratch of makeRoom
+	guestOf   []*ownerConn
 	maxNodes  int
+	shared    connpool.Shared
 	nodeConns int
 	nextNode  uint64
 	links     map[placer.NodeID]*link
@@ -56,7 +61,7 @@
 
 // Stats counts what passed on the sockets.
 type Stats struct {
-	Accepted, Strangers, Crowded, BadLines, BadNodeLines, Dials, DialsFailed, NodeBreaks, Suspects, BulletinOpens, BulletinEvents uint64
+	Accepted, Strangers, Crowded, BadLines, BadNodeLines, Dials, DialsFailed, NodeBreaks, Doubted, Broken, MachinesLost, BulletinOpens, BulletinEvents uint64
 }
 
 // New makes a scheduler on the loop and begins to listen. Its end is told by done, on the loop.
@@ -67,6 +72,8 @@
 	}
 	s := &Server{l: l, c: core, cfg: cfg, log: log, done: done, owners: map[dispatch.ConnID]*ownerConn{},
 		links: map[placer.NodeID]*link{}}
+	s.shared = connpool.DefaultShared()
+	s.shared.MaxIdle = cfg.Settings.ConnIdle * 0.6 // well before the machine closes it: an offer must not cross that
 	sockets := cfg.Sockets
 	if sockets == 0 {
 		sockets = 4096
--- a/internal/simhost/host_test.go
+++ b/internal/simhost/host_test.go
@@ -19,6 +19,11 @@
  "loadReport":{"fields":["x1","utilization"],"how":"answers"},"permissions":{"mostTries":3},
  "rules":{"answerSlackS":0.01,"askWithinS":9,"fallS":1,"warmWithinS":8}}`
 
+// names is the same with the names of classes, tenants, zones and kinds, as a scheduler in service gets them.
+var names = strings.NewReplacer(`"discovery":"push"`, `"discovery":"push","flavors":["small","large"],"zones":["a","b"],
+ "orgs":[{"name":"north"},{"name":"south"}]`, `{"effect":"idempotent"`, `{"name":"query","effect":"idempotent"`,
+	`{"effect":"dedup`, `{"name":"seats","effect":"dedup`).Replace(text)
+
 type batch struct {
 	buf   bytes.Buffer
 	count uint32
