A task that errs at two machines is held against neither

The log of every message showed 43 set-ups of strangers at one scheduler that machines answered with an error, each at up to four machines; counts of sockets, bulletin, books and withdrawn set-ups were as they should be. placer.judge struck a machine for each such error, so that most machines were struck most of the time and all careful tasks went to the few others.

Change: a task that errs at a second machine is at fault itself: the strike that it caused is taken back.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -728,7 +728,9 @@
 		} else if p.cfg.Classes[a.t.Class].Effect != Keyed {
 			p.strike(m) // it drains, before the list says so; of a keyed task a copy may stand
 		}
-	case Errored, Unreachable, TimedOut:
+	case Errored:
+		p.erred(a)
+	case Unreachable, TimedOut:
 		p.strike(m)
 	case Lost:
 		if ev.Reason == NoReason || ev.Reason == SentAway {
@@ -737,15 +739,35 @@
 	}
 }
 
-// strike avoids a machine for a while, twice as long each time. Strikes of one moment count once: a crash
-// that loses twenty tasks is one event.
-func (p *Placer) strike(m *machine) {
+// erred strikes the machine that answered with an error, unless the task has erred elsewhere: it is then more
+// likely at fault itself than both machines, and neither is held to it. Else owners that ask for what no
+// machine can run would have all of them mistrusted.
+func (p *Placer) erred(a *attempt) {
+	a.erred = true
+	elsewhere := false
+	for _, b := range a.t.attempts {
+		if b.erred && b.m != a.m {
+			elsewhere = true
+			if b.struck && b.m.strikes > 0 {
+				b.m.strikes--
+				b.m.avoidUntil = min(b.m.avoidUntil, p.now)
+			}
+			b.struck = false
+		}
+	}
+	a.struck = !elsewhere && p.strike(a.m)
+}
+
+// strike avoids a machine for a while, twice as long each time. Strikes of one moment count once, and the
+// first returns true: a crash that loses twenty tasks is one event.
+func (p *Placer) strike(m *machine) bool {
 	if m.strikes > 0 && p.now-m.struckAt < p.shortAim/4 {
-		return
+		return false
 	}
 	m.strikes = min(m.strikes+1, maxStrikes)
 	m.struckAt = p.now
 	m.avoidUntil = p.now + p.jittered(firstAvoid*p.shortAim*math.Exp2(float64(m.strikes-1)))
+	return true
 }
 
 // worked takes a strike back, slowly: machines that fail only some starts would else be trusted at each
--- a/placer/state.go
+++ b/placer/state.go
@@ -58,13 +58,15 @@
 
 // attempt is one offer of a task, or a task found running.
 type attempt struct {
-	m     *machine
-	t     *ask
-	slot  int // in the machine's list of bound tasks
-	sent  float64
-	out   bool // no outcome yet
-	bound bool
-	fresh bool // the machine held no own task of the service at the bind
+	m      *machine
+	t      *ask
+	slot   int // in the machine's list of bound tasks
+	sent   float64
+	out    bool // no outcome yet
+	bound  bool
+	fresh  bool // the machine held no own task of the service at the bind
+	erred  bool // it ended with an error
+	struck bool // and the machine was struck for it
 }
 
 // ask is a task in hand.
