After SIGTERM ends are told until the platform may kill; machines long gone are forgotten

A machine that has gone is not dialled any more, since another may sit at its address. placer drops machines that left the list 60 s ago and hold nothing of ours.

--- /dev/null
+++ b/cmd/heathshed/platform_test.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets a test start this binary as the program itself.
+func TestMain(m *testing.M) {
+	if os.Getenv("HEATHSHED_TEST_MAIN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+const platformSettings = `{"discovery":"ask","me":0,"myZone":0,"peersTotal":1,"flavors":["std"],"zones":["a"],
+ "extra":{"cpuBooking":2,"admitMemory":2,"coresByKind":[8],"kindMemory":[16],"freeInList":true,"saysYes":"accepted","youngLimit":12},
+ "lanes":[{"name":"query","effect":"idempotent","hardLimitS":4,"keyScope":"all","objectiveS":1,"worth":1}],
+ "permissions":{"mostTries":4},"rules":{"askWithinS":9}}`
+
+func platformText(listen, bulletin string) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"9","bulletin":%q,"limits":{"memory_mb":32,"sockets":256},"known":{"no":0,"items":[]},
+		"settings":%s}`, listen, bulletin, platformSettings)
+}
+
+func free(t *testing.T) (net.Listener, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln, ln.Addr().String()
+}
+
+func program(t *testing.T, text string, more ...string) (*exec.Cmd, *bufio.Scanner, string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "platform")
+	cmd.Env = append(append(os.Environ(), "HEATHSHED_TEST_MAIN=1", "LB_CONFIG="+path), more...)
+	pipe, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	kill := time.AfterFunc(20*time.Second, func() { cmd.Process.Kill() })
+	t.Cleanup(func() { kill.Stop(); cmd.Process.Kill(); cmd.Wait() })
+	return cmd, bufio.NewScanner(pipe), path
+}
+
+// logged reads the log until a line has the text.
+func logged(t *testing.T, log *bufio.Scanner, text string) {
+	t.Helper()
+	for log.Scan() {
+		if strings.Contains(log.Text(), text) {
+			return
+		}
+	}
+	t.Fatalf("the log ends without %q", text)
+}
+
+func TestPlatformRefusesWhatItCannotUse(t *testing.T) {
+	_, bulletin := free(t)
+	good := platformText("127.0.0.1:0", bulletin)
+	for name, c := range map[string]struct{ text, env, want string }{
+		"settings": {strings.Replace(good, "idempotent", "maybe", 1), "", "lanes[0].effect"},
+		"attempts": {strings.Replace(good, `"mostTries":4`, `"mostTries":0`, 1), "", "attempts 0"},
+		"known":    {strings.Replace(good, `"items":[]`, `"items":[{"no":"x"}]`, 1), "", "known: items[0]"},
+		"no JSON":  {good[:40], "", "config.json"},
+		"name":     {good, "LB_NAME=n7", "LB_NAME"},
+		"listen":   {good, "LB_LISTEN=127.0.0.1:9", "LB_LISTEN"},
+	} {
+		cmd, log, _ := program(t, c.text, c.env)
+		lines, all := 0, ""
+		for log.Scan() {
+			lines++
+			all += log.Text()
+		}
+		cmd.Wait()
+		if code := cmd.ProcessState.ExitCode(); code != 2 || lines != 1 || !strings.Contains(all, c.want) {
+			t.Errorf("%s: exit status %d, %d lines: %s", name, code, lines, all)
+		}
+	}
+}
+
+// TestPlatformSignals: a broken file leaves the old configuration in force, a good one moves the bulletin, several signals at once move it
+// once, and the program ends in order. The processor time and memory of its start are bounded: a scheduler has a small machine.
+func TestPlatformSignals(t *testing.T) {
+	first, bulletin := free(t)
+	second, moved := free(t)
+	calls := func(ln net.Listener) <-chan struct{} {
+		ch := make(chan struct{}, 100)
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				if line, _ := bufio.NewReader(c).ReadString('\n'); strings.HasPrefix(line, "GET /bulletins ") {
+					ch <- struct{}{}
+				}
+			}
+		}()
+		return ch
+	}
+	atFirst, atSecond := calls(first), calls(second)
+	cmd, log, path := program(t, platformText("127.0.0.1:0", bulletin))
+	logged(t, log, "serving")
+	<-atFirst
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rss, _ := strings.Cut(string(status), "VmRSS:")
+	if kb, err := strconv.Atoi(strings.Fields(rss)[0]); err != nil || kb > 28<<10 {
+		t.Errorf("resident memory at the start: %d KB", kb)
+	}
+	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP)
+	logged(t, log, "configuration not taken over")
+	if err := os.WriteFile(path, []byte(platformText("127.0.0.1:0", moved)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		cmd.Process.Signal(syscall.SIGHUP)
+	}
+	logged(t, log, "bulletin moved")
+	<-atSecond
+	cmd.Process.Signal(syscall.SIGTERM)
+	cmd.Process.Signal(syscall.SIGTERM)
+	logged(t, log, "stopped")
+	cmd.Wait()
+	if code := cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit status %d", code)
+	}
+	if cpu := cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime(); cpu > time.Second {
+		t.Errorf("%v of processor time for doing nothing", cpu)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -294,6 +294,9 @@
 // Addr is the address listened at, with the port that the system chose.
 func (ln *Listener) Addr() string { return ln.addr.String() }
 
+// Closed says whether the listener no longer accepts.
+func (ln *Listener) Closed() bool { return ln.l.listeners[ln.fd] != ln }
+
 // Close stops accepting.
 func (ln *Listener) Close() {
 	if ln.l.listeners[ln.fd] == ln {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -254,7 +254,8 @@
 		k.owed = nil
 		return
 	}
-	if k.dialing == nil && now >= k.retryAt && n != nil && (holds || n.State != placer.Gone) {
+	// One that has gone is not dialled: another machine may sit there by now, and its word would be taken for the gone one's.
+	if k.dialing == nil && now >= k.retryAt && n != nil && n.State != placer.Gone {
 		k.dial()
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -116,23 +116,35 @@
 	s.l.After(acceptAfter, s.ending)
 }
 
+// ending closes the listener, and ends the program once nothing that was taken is open. While tasks stand it stays as long as the platform
+// leaves it running, to tell their owners how they end: what ends with no scheduler there is told late or never.
 func (s *Server) ending() {
 	s.ln.Close()
-	if s.c.Open() > 0 {
+	now := s.l.Now()
+	unsent := false
+	for _, oc := range s.owners {
+		unsent = unsent || oc.lc.Buffered() > 0
+	}
+	waits := s.c.Open() > 0 || s.c.Standing() > 0 && len(s.owners) > 0 && now < s.stopAt+s.stayFor()
+	if waits || unsent && now < s.stopAt+s.stayFor()+1 {
 		s.l.After(0.01, s.ending)
 		return
 	}
-	for _, oc := range s.owners {
-		if oc.lc.Buffered() > 0 && s.l.Now() < s.stopAt+3 {
-			s.l.After(0.01, s.ending)
-			return
-		}
-	}
 	s.report()
 	s.log.Info().Msg("stopped")
 	s.done()
 }
 
+// stayFor is how long after the signal to stop the platform surely leaves a scheduler running, in seconds: the longest deadline, 3 s where
+// it is longer, and 0.7 s, less a reserve for a busy processor.
+func (s *Server) stayFor() float64 {
+	longest := 0.0
+	for i := range s.cfg.Settings.Placer.Classes {
+		longest = max(longest, s.cfg.Settings.Placer.Classes[i].Deadline)
+	}
+	return min(longest, 3) + 0.7 - 0.15
+}
+
 // pump carries out what the core left to do and sets the timer for what it does next.
 func (s *Server) pump() {
 	for effects := s.c.Ready(); len(effects) > 0; effects = s.c.Ready() {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -460,7 +460,17 @@
 
 func TestStopAnswersWhatWasTaken(t *testing.T) {
 	answer := make(chan func(), 10)
-	n := machine(t, func(c net.Conn, line string) { answer <- func() { accepts(c, line) } })
+	type task struct {
+		conn net.Conn
+		uid  string
+	}
+	held := make(chan task, 10)
+	n := machine(t, func(c net.Conn, line string) {
+		if strings.Contains(line, `"launch"`) {
+			answer <- func() { accepts(c, line) }
+			held <- task{c, uid(line)}
+		}
+	})
 	sv := serve(t, 256, n.addr)
 	a := sv.owner()
 	io.WriteString(a, launch(1, "seats", `"x"`))
@@ -473,6 +483,23 @@
 	second()
 	a.want(`"running"`)
 	b.want(`"running"`)
+	// While a task stands, and nothing else is open, its end is still told.
+	closed := make(chan struct{})
+	sv.l.Post(func() {
+		var watch func()
+		watch = func() {
+			if sv.ln.Closed() {
+				close(closed)
+			} else {
+				sv.l.After(0.01, watch)
+			}
+		}
+		watch()
+	})
+	wait(t, "end of listening", closed)
+	last := <-held
+	fmt.Fprintf(last.conn, `{"kind":"stop","uid":%q,"reason":16}`+"\n", last.uid)
+	a.want(`"stop"`, last.uid, `"reason":16`)
 	wait(t, "end", sv.ended)
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -35,6 +35,7 @@
 	lateWait    = 0.6  // and after it, so that late tasks leave new room to those in time
 	enoughAsked = 0.2  // of a machine must be asked for before its use says what asks come to
 	staleReport = 2.0  // windows after which a report says nothing
+	forgetAfter = 60.0 // seconds for which a machine that has gone is remembered with what it did
 	keepMargin  = 0.9  // part of a group's memory of a key that is relied on
 	coldMargin  = 1.1  // fall windows over which own sends to a cold machine are counted: links jitter
 )
@@ -172,6 +173,7 @@
 		}
 	case wakeTidy:
 		p.tidy()
+		p.forgetGone()
 		p.wakeIn(nil, wakeTidy, p.jittered(tidyEvery*window))
 	case wakeDeadline:
 		// The time-out of an attempt is cut to the deadline and is answered when it comes; this is for
@@ -328,6 +330,25 @@
 	}
 }
 
+// forgetGone drops machines that left the list long ago and hold nothing of ours, so that a fleet whose
+// machines are replaced for days does not grow the books.
+func (p *Placer) forgetGone() {
+	p.machines = slices.DeleteFunc(p.machines, func(m *machine) bool {
+		if m.State != Gone || !m.known || m.open > 0 || len(m.held) > 0 || len(m.services) > 0 {
+			m.goneAt = 0
+			return false
+		}
+		if m.goneAt == 0 {
+			m.goneAt = p.now
+		}
+		if p.now-m.goneAt < forgetAfter {
+			return false
+		}
+		delete(p.byID, m.ID)
+		return true
+	})
+}
+
 // fits says whether neither list nor report nor a fresh refusal shows m as too full for the ask.
 func (p *Placer) fits(t *ask, m *machine) bool {
 	if m.fullUntil > p.now {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -412,6 +412,25 @@
 	}
 }
 
+func TestMachinesThatAreReplacedAreForgotten(t *testing.T) {
+	p := start(t, config(), 1, fleet(4))
+	for i := range 2000 {
+		now := 100 + float64(i)
+		was, next := Node{ID: NodeID(i + 1), State: Gone}, fleet(1)[0]
+		next.ID = NodeID(i + 5)
+		p.Handle(now, Event{Kind: Listed, List: Changes, Nodes: []Node{was, next}}, nil)
+		for token, w := range p.wakes {
+			if w.kind == wakeTidy {
+				p.Handle(now, Event{Kind: Woken, Token: token}, nil)
+				break
+			}
+		}
+	}
+	if n := len(p.machines); n > 4+forgetAfter+2 || len(p.byID) != n {
+		t.Fatalf("%d machines and %d numbers are known after 2000 replacements", n, len(p.byID))
+	}
+}
+
 func TestListIsAskedAgain(t *testing.T) {
 	c := config()
 	c.MustAsk = true
--- a/placer/state.go
+++ b/placer/state.go
@@ -6,8 +6,9 @@
 type machine struct {
 	Node
 	cores, memory float64
-	known         bool // named by a list
-	open          int  // own offers without an answer
+	known         bool    // named by a list
+	goneAt        float64 // since when it has been gone and empty, 0 if it is not
+	open          int     // own offers without an answer
 	pending       []delta
 	report        Report
 	reportAt      float64
