--- a/internal/platform/bulletin.go
+++ b/internal/platform/bulletin.go
@@ -88,6 +88,7 @@
 					return
 				}
 				b.s.stats.BulletinEvents++
+				b.s.log.Trace().Str("id", e.ID).Str("data", e.Data).Msg("bulletin>")
 				ok, err := b.s.c.Bulletin(b.s.l.Now(), []byte(e.Data))
 				if err == nil && !ok {
 					err = errGap
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -87,6 +87,7 @@
 	s.bulletin = newBulletin(s, cfg.Bulletin)
 	s.bulletin.open()
 	s.pump()
+	log.Trace().Str("settings", fmt.Sprintf("%+v", *cfg.Settings)).RawJSON("known", cfg.Known).Msg("configuration")
 	l.After(housekeeping, s.keep)
 	l.After(reportEvery, s.report)
 	return s, nil
