--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -571,3 +571,46 @@
 		t.Errorf("%d timers", n)
 	}
 }
+
+// FuzzMessages: whatever lines come, from owners and machines alike, nothing panics and all tables empty once everything has been waited for.
+func FuzzMessages(f *testing.F) {
+	f.Add("{\"kind\":\"launch\",\"uid\":\"0000000000000001\",\"meta\":{\"class\":\"query\",\"left\":900,\"tenant\":\"south\",\"key\":\"0000000000000001\"," +
+		"\"extras\":\"cores:1;memory:1;at:s-00000001\"},\"body\":\"x\"}\n" +
+		"{\"kind\":\"running\",\"uid\":\"0000000000000001\",\"body\":\"y\"}\n{\"kind\":\"stop\",\"uid\":\"0000000000000001\",\"meta\":{\"load\":\"x0:1e999;:;x1\"},\"reason\":9}")
+	f.Add("{\"kind\":\"launch\",\"uid\":\"0000000000000002\",\"meta\":{\"class\":\"seats\",\"left\":1e3,\"tenant\":\"south\",\"key\":\"0000000000000001\"," +
+		"\"extras\":\"cores:0;memory:0;;x\"},\"body\":\"\"}\n{\"kind\":\"update\",\"uid\":\"0000000000000002\",\"meta\":{\"note\":\"cpu\",\"value\":\"NaN\"}}\n" +
+		"{\"kind\":\"migrate\",\"uid\":\"0000000000000002\"}")
+	f.Fuzz(func(t *testing.T, text string) {
+		w := newWorld(t, nil)
+		conn := w.open()
+		for line := range strings.SplitSeq(text, "\n") {
+			var m jsonl.Message
+			if jsonl.Parse([]byte(line), &m) != nil {
+				continue
+			}
+			w.c.FromOwner(w.now, conn, &m)
+			for _, e := range w.c.Ready() {
+				if e.Kind == Send {
+					w.c.MayStart(w.now, e.Offer)
+				}
+			}
+			for i := 1; i <= 3; i++ {
+				w.c.FromNode(w.now, NodeNumber(fmt.Sprintf("s-%08x", i)), &m)
+			}
+			w.c.Ready()
+			w.now += 0.1
+		}
+		w.c.OwnerClosed(w.now, conn)
+		for i := 1; i <= 3; i++ {
+			w.c.NodeLost(w.now, NodeNumber(fmt.Sprintf("s-%08x", i)))
+		}
+		for end := w.now + 20; w.c.Due() < end; {
+			w.now = max(w.now, w.c.Due())
+			w.c.Advance(w.now)
+			w.c.Ready()
+		}
+		if c := w.c; c.Open() != 0 || c.Standing() != 0 || len(c.tasks) != 0 || len(c.byID) != 0 || len(c.places) != 0 {
+			t.Fatalf("left: %d open, %d standing, %d tasks, %d ids, %d places", c.Open(), c.Standing(), len(c.tasks), len(c.byID), len(c.places))
+		}
+	})
+}
