Few connections are accepted in a turn where there are few seats

Observed: TestCrowd failed once in a full run of the tests: an owner's connection ended without a word. With 34 seats one turn accepted 64; all of that turn count as busy, since they could not have spoken yet, so none was closed to make room and the loop refused the owner that came last. Listener.accept now takes a quarter of the seats in a turn at most, so that each newcomer is heard before it can be displaced.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -307,7 +307,9 @@
 
 func (ln *Listener) accept() {
 	l := ln.l
-	for range acceptBatch {
+	// Few at a time where there are few seats: whoever makes room for a newcomer has to have heard those that came before it, or a crowd
+	// that says nothing takes all seats in one turn.
+	for range min(acceptBatch, max(l.maxConns/4, 1)) {
 		fd, sa, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch err {
 		case nil:
