--- /dev/null
+++ b/internal/connpool/shared_test.go
@@ -0,0 +1,52 @@
+package connpool
+
+import "testing"
+
+func TestTend(t *testing.T) {
+	p := Shared{MaxIdle: 9, TestAfter: 1, TestFor: 0.5}
+	for _, c := range []struct {
+		name string
+		l    Line
+		want Upkeep
+	}{
+		{"at work", Line{Requests: 1, Used: 99.5, Heard: 99}, Leave},
+		{"no word while something is expected", Line{Requests: 1, Used: 98.9, Heard: 98}, Test},
+		{"no word while tasks stand", Line{Held: true, Used: 50, Heard: 98}, Test},
+		{"tested just now", Line{Held: true, Used: 50, Heard: 98, Tested: 99.6}, Leave},
+		{"test unanswered", Line{Requests: 3, Used: 99, Heard: 98, Tested: 99.4}, Break},
+		{"a message that does not end", Line{Requests: 1, Used: 99.9, Heard: 99.9, Cut: 99.4}, Break},
+		{"doubted", Line{Requests: 1, Used: 99.9, Heard: 99.9, Doubted: true}, Test},
+		{"doubted, empty, another serves", Line{Used: 99.9, Heard: 99.9, Doubted: true, Spare: true}, Retire},
+		{"idle", Line{Used: 90, Heard: 99}, Retire},
+		{"idle, but tasks stand", Line{Used: 90, Heard: 99.5, Held: true}, Leave},
+		{"idle, tasks stand, another serves", Line{Used: 90, Heard: 99.5, Held: true, Spare: true}, Retire},
+	} {
+		if got := p.Tend(100, c.l); got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func TestReach(t *testing.T) {
+	r := Reach{Silent: 6, Refused: 1}
+	r.Word(100)
+	r.Failed(101, false)
+	if r.Lost(105.9) || !r.Lost(106.1) {
+		t.Error("silence: want lost after 6 s without a word")
+	}
+	r.Word(107)
+	r.Failed(108, true)
+	if r.Lost(108.9) || !r.Lost(109.1) {
+		t.Error("refusals: want lost after 1 s of them")
+	}
+	r.Failed(109, false) // no answer says nothing of the process
+	if r.Lost(110) {
+		t.Error("a dial without an answer ends the refusals")
+	}
+	var none Reach
+	none.Silent, none.Refused = 6, 1
+	none.Failed(50, false)
+	if none.Lost(55) || !none.Lost(57) {
+		t.Error("without any word silence counts from the first failure")
+	}
+}
