One queue between a core and the module; waits below the clock's grain end

Observed: dispatch had its own copy of the engine's queue of events, without the floor under waits that the engine has.

Change: package feed holds the queue and the floor; engine and dispatch both use it.

Checked: that test, and the tests of dispatch, platform, simhost, engine, model and scheduler pass.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 
+	"heathshed/internal/feed"
 	"heathshed/internal/jsonl"
 	"heathshed/internal/simsettings"
 	"heathshed/internal/timers"
@@ -35,11 +36,6 @@
 	maxTasks  = 20000 // set-ups and standing tasks held at a time; each takes about 2 KB
 )
 
-// Decider is the module, or what stands for it in a test.
-type Decider interface {
-	Handle(now float64, ev placer.Event, actions []placer.Action) []placer.Action
-}
-
 // ConnID numbers a connection of owners. 0 is none.
 type ConnID uint64
 
@@ -144,7 +140,7 @@
 	Counts Counts
 
 	s         *simsettings.Settings
-	p         Decider
+	module    feed.Feed
 	now       float64
 	timers    timers.Queue
 	nodes     map[placer.NodeID]*Node
@@ -158,16 +154,14 @@
 	last      uint64
 	streaming bool
 	asked     bool
-	queue     []placer.Event
-	running   bool
-	actions   []placer.Action
 	out       []Effect
 }
 
 // New makes a core, with the events of the bulletin that the configuration knows.
-func New(now float64, s *simsettings.Settings, p Decider, knownEvents []byte) (*Core, error) {
-	c := &Core{s: s, p: p, now: now, nodes: map[placer.NodeID]*Node{}, tasks: map[placer.TaskID]*task{}, byID: map[jsonl.ID]*task{},
+func New(now float64, s *simsettings.Settings, p feed.Module, knownEvents []byte) (*Core, error) {
+	c := &Core{s: s, now: now, nodes: map[placer.NodeID]*Node{}, tasks: map[placer.TaskID]*task{}, byID: map[jsonl.ID]*task{},
 		places: map[place]*Offer{}, owners: map[ConnID]*owner{}}
+	c.module = feed.Feed{Module: p, Do: c.act}
 	var k known
 	if len(knownEvents) > 0 {
 		if err := json.Unmarshal(knownEvents, &k); err != nil {
@@ -245,32 +239,16 @@
 
 func (c *Core) tick(now float64) { c.now = max(c.now, now) }
 
-// post queues an event for the module.
-func (c *Core) post(ev placer.Event) { c.queue = append(c.queue, ev) }
+// post queues an event for the module, run hands over what is queued.
+func (c *Core) post(ev placer.Event) { c.module.Post(ev) }
 
-// run hands queued events over, one after another: the actions of one are carried out before the next is told.
-func (c *Core) run() {
-	if c.running {
-		return
-	}
-	c.running = true
-	for len(c.queue) > 0 {
-		ev := c.queue[0]
-		c.queue = c.queue[1:]
-		c.actions = c.p.Handle(c.now, ev, c.actions[:0])
-		for i := range c.actions {
-			c.act(&c.actions[i])
-		}
-	}
-	c.queue = nil
-	c.running = false
-}
+func (c *Core) run() { c.module.Run(c.now) }
 
 func (c *Core) act(a *placer.Action) {
 	switch a.Kind {
 	case placer.Wake:
 		token := a.Token
-		c.timers.Add(c.now+a.After, func() { c.post(placer.Event{Kind: placer.Woken, Token: token}) })
+		c.timers.Add(c.now+feed.Wait(a.After), func() { c.post(placer.Event{Kind: placer.Woken, Token: token}) })
 		return
 	case placer.Watch, placer.Fetch:
 		if c.asked = !c.streaming; c.streaming {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"heathshed/internal/feed"
 	"heathshed/internal/jsonl"
 	"heathshed/internal/proptest"
 	"heathshed/internal/simsettings"
@@ -58,7 +59,7 @@
 	standing          bool
 }
 
-func newWorld(t rapid.TB, p Decider) *world {
+func newWorld(t rapid.TB, p feed.Module) *world {
 	s, err := simsettings.Parse([]byte(settings))
 	if err != nil {
 		t.Fatal(err)
@@ -614,3 +615,27 @@
 		}
 	})
 }
+
+// TestWaitsBelowTheClocksGrain: a wait too short for a clock of this size must not bring the same moment back for ever.
+func TestWaitsBelowTheClocksGrain(t *testing.T) {
+	const now = 1.8e9 // Unix seconds: the grain is 2.4e-7
+	for _, after := range []float64{0, 1e-9} {
+		wakes := 0
+		c := &Core{s: &simsettings.Settings{}, now: now}
+		c.module = feed.Feed{Do: c.act, Module: decide(func(ev placer.Event) []placer.Action {
+			if wakes++; wakes > 1000 {
+				t.Fatalf("woken %d times in one moment, waits of %g s", wakes, after)
+			}
+			return []placer.Action{{Kind: placer.Wake, After: after}}
+		})}
+		c.post(placer.Event{Kind: placer.Woken})
+		c.run()
+		c.Advance(now)
+	}
+}
+
+type decide func(placer.Event) []placer.Action
+
+func (d decide) Handle(_ float64, ev placer.Event, actions []placer.Action) []placer.Action {
+	return append(actions, d(ev)...)
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -19,6 +19,7 @@
 	corev1 "k8s.io/api/core/v1"
 	"k8s.io/apimachinery/pkg/types"
 
+	"heathshed/internal/feed"
 	"heathshed/internal/gate"
 	"heathshed/internal/owner"
 	"heathshed/internal/store"
@@ -91,14 +92,11 @@
 	cfg    Config
 	now    float64
 	rng    *rand.Rand
-	placer *placer.Placer
+	module feed.Feed
 	gate   *gate.Gate
 	gateAt *timer
 	store  *store.Store
 
-	acts    []placer.Action
-	queue   []placer.Event
-	feeding bool
 	effects []Effect
 
 	timers timers.Queue
@@ -164,10 +162,11 @@
 		asks: map[placer.TaskID]*ask{}, nodes: map[string]*node{}, byID: map[placer.NodeID]*node{},
 		zones: map[string]int{cfg.Zone: 0}, racks: map[string]int{}}
 	e.cfg.Placer.Zone = 0
-	var err error
-	if e.placer, err = placer.New(e.cfg.Placer, cfg.Seed); err != nil {
+	p, err := placer.New(e.cfg.Placer, cfg.Seed)
+	if err != nil {
 		return nil, fmt.Errorf("engine: %w", err)
 	}
+	e.module = feed.Feed{Module: p, Do: e.carryOut}
 	if e.cfg.Gate.MaxWaiting == 0 {
 		e.cfg.Gate = gate.DefaultConfig()
 		e.cfg.Gate.Off = true
@@ -252,26 +251,10 @@
 	e.drainQueue()
 }
 
-// feed hands an event to the placer and carries out its actions, in order. An event that comes up while actions are carried
-// out waits its turn.
-func (e *Engine) feed(ev placer.Event) { e.queue = append(e.queue, ev) }
+// feed queues an event for the module, drainQueue hands over what is queued.
+func (e *Engine) feed(ev placer.Event) { e.module.Post(ev) }
 
-func (e *Engine) drainQueue() {
-	if e.feeding {
-		return
-	}
-	e.feeding = true
-	for len(e.queue) > 0 {
-		ev := e.queue[0]
-		e.queue = e.queue[1:]
-		e.acts = e.placer.Handle(e.now, ev, e.acts[:0])
-		for i := range e.acts {
-			e.carryOut(&e.acts[i])
-		}
-	}
-	e.queue = nil
-	e.feeding = false
-}
+func (e *Engine) drainQueue() { e.module.Run(e.now) }
 
 func (e *Engine) carryOut(a *placer.Action) {
 	switch a.Kind {
@@ -282,9 +265,8 @@
 	case placer.Fail:
 		e.answered(a.Task, owner.WasFailed, 0)
 	case placer.Wake:
-		// Never within the same instant: at this size of clock a wait below its grain would bring the same moment back.
 		token := a.Token
-		e.after(max(a.After, 1e-6), func() { e.feed(placer.Event{Kind: placer.Woken, Token: token}); e.drainQueue() })
+		e.after(feed.Wait(a.After), func() { e.feed(placer.Event{Kind: placer.Woken, Token: token}); e.drainQueue() })
 	case placer.Watch, placer.Fetch:
 		e.effect(Effect{Kind: Relist})
 	case placer.Move:
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -13,6 +13,7 @@
 	"heathshed/internal/budget"
 	"heathshed/internal/connpool"
 	"heathshed/internal/dispatch"
+	"heathshed/internal/feed"
 	"heathshed/internal/jsonl"
 	"heathshed/internal/loop"
 	"heathshed/placer"
@@ -65,7 +66,7 @@
 }
 
 // New makes a scheduler on the loop and begins to listen. Its end is told by done, on the loop.
-func New(l *loop.Loop, cfg *Config, p dispatch.Decider, log zerolog.Logger, done func()) (*Server, error) {
+func New(l *loop.Loop, cfg *Config, p feed.Module, log zerolog.Logger, done func()) (*Server, error) {
 	core, err := dispatch.New(l.Now(), cfg.Settings, p, cfg.Known)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
