Dispatch and platform without dead parts: one parse of an event, one way to look up a machine

Need: a second reading found an effect that nothing emits (Hang), a field and a method that nothing uses, each event of the bulletin decoded twice, the search for a machine's number written twice, replies built by hand in four places, and a line search that bytes.IndexByte is. Waits before dialling again had no chance in them, so schedulers that lost one bulletin would come back in step.

Change: those are gone; waits are drawn.

Checked: tests of dispatch, platform, simhost and cmd/heathshed pass.

--- a/cmd/heathshed/platform_test.go
+++ b/cmd/heathshed/platform_test.go
@@ -80,7 +80,7 @@
 	for name, c := range map[string]struct{ text, env, want string }{
 		"settings": {strings.Replace(good, "idempotent", "maybe", 1), "", "lanes[0].effect"},
 		"attempts": {strings.Replace(good, `"mostTries":4`, `"mostTries":0`, 1), "", "attempts 0"},
-		"known":    {strings.Replace(good, `"items":[]`, `"items":[{"no":"x"}]`, 1), "", "known: items[0]"},
+		"known":    {strings.Replace(good, `"items":[]`, `"items":[{"no":"x"}]`, 1), "", "known: json: cannot unmarshal string into Go struct field bulletinEvent.items.no"},
 		"no JSON":  {good[:40], "", "config.json"},
 		"name":     {good, "LB_NAME=n7", "LB_NAME"},
 		"listen":   {good, "LB_LISTEN=127.0.0.1:9", "LB_LISTEN"},
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -42,12 +42,11 @@
 // EffectKind says what the caller is to do.
 type EffectKind uint8
 
-// The effects. Tell: send Message on connection Conn. Hang: close connection Conn once all has been sent. Send: offer Offer to its machine,
+// The effects. Tell: send Message on connection Conn. Send: offer Offer to its machine,
 // see MayStart. Release: send Message to the machine of Offer, on the connection that Offer went out on where that is open, else on any.
 // Roster: machines or their addresses may have changed.
 const (
 	Tell EffectKind = iota + 1
-	Hang
 	Send
 	Release
 	Roster
@@ -168,12 +167,11 @@
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
-	for i, item := range k.Items {
-		ev, _, err := c.apply(item)
-		if err != nil {
+	for i := range k.Items {
+		if _, err := c.apply(&k.Items[i]); err != nil {
 			return nil, fmt.Errorf("known: items[%d]: %w", i, err)
 		}
-		c.last = max(c.last, ev.No)
+		c.last = max(c.last, k.Items[i].No)
 	}
 	c.last = max(c.last, k.No)
 	c.post(placer.Event{Kind: placer.Listed, List: placer.CachedList, Nodes: c.list()})
@@ -264,7 +262,7 @@
 	case placer.Offer:
 		c.offer(t, a)
 	case placer.Refuse:
-		m := reply(t, jsonl.Stop, jsonl.CauseFull)
+		m := reply(&t.m, jsonl.Stop, jsonl.CauseFull)
 		if a.After > 0 && c.s.Placer.MayDelayOwners {
 			m.Set(jsonl.Wait, strconv.Itoa(int(math.Ceil(min(a.After, c.s.Placer.MaxDelay)*1000))))
 		}
@@ -272,20 +270,24 @@
 		c.answer(t, m)
 	case placer.Fail:
 		c.Counts.Failed++
-		c.answer(t, reply(t, jsonl.Stop, jsonl.CauseError))
+		c.answer(t, reply(&t.m, jsonl.Stop, jsonl.CauseError))
 	case placer.Move:
 		if o := t.standing(); o != nil && !t.over {
 			c.Counts.Moves++
 			t.over, t.moved = true, true
-			c.toOwner(t, reply(t, jsonl.Migrate, -1))
+			c.toOwner(t, reply(&t.m, jsonl.Migrate, -1))
 			c.release(o, jsonl.CauseCancelled, false)
 		}
 	}
 }
 
-// reply is a message about a set-up; a cause below 0 is none.
-func reply(t *task, k jsonl.Kind, cause int) jsonl.Message {
-	return jsonl.Message{Kind: k, UID: t.m.UID, ID: t.m.ID, Reason: max(cause, 0), HasReason: cause >= 0}
+// reply is a message about what another was about; a cause below 0 is none.
+func reply(m *jsonl.Message, k jsonl.Kind, cause int) jsonl.Message {
+	return jsonl.Message{Kind: k, UID: m.UID, ID: m.ID, Reason: max(cause, 0), HasReason: cause >= 0}
+}
+
+func (c *Core) tell(id ConnID, m jsonl.Message) {
+	c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: m})
 }
 
 func (t *task) standing() *Offer {
@@ -345,8 +347,7 @@
 	err := c.fromOwner(id, ow, m)
 	if err != nil {
 		c.Counts.Bad++
-		c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: jsonl.Message{Kind: jsonl.Stop, UID: m.UID, ID: m.ID,
-			Reason: jsonl.CauseError, HasReason: true}})
+		c.tell(id, reply(m, jsonl.Stop, jsonl.CauseError))
 	} else {
 		ow.heard = c.now
 		c.settle(id)
@@ -358,8 +359,7 @@
 func (c *Core) fromOwner(id ConnID, ow *owner, m *jsonl.Message) error {
 	switch m.Kind {
 	case jsonl.Check:
-		c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: jsonl.Message{Kind: jsonl.Checked, UID: m.UID, ID: m.ID, Reason: 1,
-			HasReason: true}})
+		c.tell(id, reply(m, jsonl.Checked, 1))
 	case jsonl.Launch:
 		return c.setUp(id, ow, m)
 	case jsonl.Stop:
@@ -402,8 +402,7 @@
 		return fmt.Errorf("launch %s: %w", m.UID, err)
 	}
 	if len(c.byID) >= maxTasks {
-		c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: jsonl.Message{Kind: jsonl.Stop, UID: m.UID, ID: m.ID,
-			Reason: jsonl.CauseBusy, HasReason: true}})
+		c.tell(id, reply(m, jsonl.Stop, jsonl.CauseBusy))
 		return nil
 	}
 	if at != "" {
@@ -413,15 +412,11 @@
 	c.open++
 	c.Counts.Taken++
 	ow.open[t] = struct{}{}
-	c.post(placer.Event{Kind: placer.Arrived, ID: t.id, Task: task2(task, t)})
+	task.ID = t.id
+	c.post(placer.Event{Kind: placer.Arrived, ID: t.id, Task: task})
 	return nil
 }
 
-func task2(x placer.Task, t *task) placer.Task {
-	x.ID = t.id
-	return x
-}
-
 func (c *Core) add(id ConnID, m *jsonl.Message, x placer.Task) *task {
 	c.next++
 	t := &task{id: c.next, m: *m, conn: id, class: x.Class, deadline: x.Deadline}
@@ -432,24 +427,21 @@
 
 // holds takes over a task that a machine holds already.
 func (c *Core) holds(id ConnID, ow *owner, m *jsonl.Message, x placer.Task, at string) error {
-	nid := NodeNumber(at)
-	for c.nodes[nid] != nil && c.nodes[nid].UID != at {
-		nid++
-	}
-	n := c.nodes[nid]
+	n := c.nodes[c.number(at)]
 	if n == nil {
 		return fmt.Errorf("launch %s: extras: at: %.40q is not in the bulletin", m.UID, at)
 	}
-	if old := c.places[place{nid, m.ID}]; old != nil {
+	if old := c.places[place{n.ID, m.ID}]; old != nil {
 		c.forget(old) // an attempt given up that was accepted after all
 	}
 	t := c.add(id, m, x)
 	ow.good = c.now
-	o := &Offer{Node: nid, Message: t.toNode(), t: t, state: bound, sent: c.now, bound: c.now}
+	o := &Offer{Node: n.ID, Message: t.toNode(), t: t, state: bound, sent: c.now, bound: c.now}
 	t.offers = append(t.offers, o)
-	c.places[place{nid, m.ID}] = o
+	c.places[place{n.ID, m.ID}] = o
 	n.standing[o] = struct{}{}
-	c.post(placer.Event{Kind: placer.Running, ID: t.id, Task: task2(x, t), Node: nid})
+	x.ID = t.id
+	c.post(placer.Event{Kind: placer.Running, ID: t.id, Task: x, Node: n.ID})
 	c.out = append(c.out, Effect{Kind: Roster})
 	if n.State == placer.Gone {
 		c.goneSoon(n)
@@ -528,7 +520,7 @@
 	}
 	c.close(t)
 	if c.owners[t.conn] != nil {
-		c.out = append(c.out, Effect{Kind: Tell, Conn: t.conn, Message: m})
+		c.tell(t.conn, m)
 	}
 	c.abandon(t, placer.TimedOut)
 	c.drop(t)
@@ -575,7 +567,7 @@
 // else on the next one that opens.
 func (c *Core) toOwner(t *task, m jsonl.Message) {
 	if id := c.anyOwner(t.conn); id != 0 {
-		c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: m})
+		c.tell(id, m)
 		return
 	}
 	c.Counts.Owed++
@@ -606,7 +598,7 @@
 			c.Counts.OwedLost++
 			continue
 		}
-		c.out = append(c.out, Effect{Kind: Tell, Conn: id, Message: o.m})
+		c.tell(id, o.m)
 	}
 	c.owed = nil
 }
--- a/internal/dispatch/offers.go
+++ b/internal/dispatch/offers.go
@@ -132,7 +132,7 @@
 		o.timer = c.timers.Add(c.now+owedFor, func() { c.end(o, placer.Cancelled, placer.NoReason, nil, jsonl.CauseCancelled) })
 	}
 	o.ending = true
-	c.out = append(c.out, Effect{Kind: Release, Offer: o, TimedOut: timedOut, Message: reply(o.t, jsonl.Stop, cause)})
+	c.out = append(c.out, Effect{Kind: Release, Offer: o, TimedOut: timedOut, Message: reply(&o.t.m, jsonl.Stop, cause)})
 }
 
 // FromNode takes one message of a machine. What concerns nothing that is known there changes nothing.
@@ -185,9 +185,9 @@
 		if n := c.nodes[o.Node]; n != nil {
 			n.standing[o] = struct{}{}
 		}
-		a := reply(t, jsonl.Running, -1)
+		a := reply(&t.m, jsonl.Running, -1)
 		a.Body = m.Body
-		c.out = append(c.out, Effect{Kind: Tell, Conn: t.conn, Message: a})
+		c.tell(t.conn, a)
 		c.post(placer.Event{Kind: placer.Bound, ID: t.id, Attempt: o.attempt, Node: o.Node, Elapsed: c.now - o.sent})
 	case givenUp:
 		c.Counts.Late++
@@ -240,7 +240,7 @@
 func (c *Core) unmoved(o *Offer) {
 	if o.state == bound && o.t.moved {
 		o.t.moved = false
-		c.toOwner(o.t, reply(o.t, jsonl.Stop, jsonl.CauseCancelled))
+		c.toOwner(o.t, reply(&o.t.m, jsonl.Stop, jsonl.CauseCancelled))
 	}
 }
 
@@ -254,7 +254,7 @@
 	}
 	if !t.over || t.moved && cause != jsonl.CauseCancelled {
 		t.over = true
-		c.toOwner(t, reply(t, jsonl.Stop, cause))
+		c.toOwner(t, reply(&t.m, jsonl.Stop, cause))
 	}
 	c.done(o, as, why, r)
 	c.drop(t)
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -33,8 +33,8 @@
 
 // known is the configuration's list of the events before the start.
 type known struct {
-	No    uint64            `json:"no"`
-	Items []json.RawMessage `json:"items"`
+	No    uint64          `json:"no"`
+	Items []bulletinEvent `json:"items"`
 }
 
 // Node is what the bulletin told of one machine.
@@ -61,28 +61,30 @@
 	return placer.NodeID(xxhash.Sum64String(uid) & (1<<48 - 1))
 }
 
-// apply enters one event of the bulletin and returns the entries that changed, and whether it held the whole list. An event that was had
-// already, or that cannot be read, changes nothing.
-func (c *Core) apply(data []byte) (ev bulletinEvent, changed []placer.Node, err error) {
-	if err := json.Unmarshal(data, &ev); err != nil {
-		return ev, nil, fmt.Errorf("bulletin event: %w", err)
+// number is the module's number for a machine that is known, or the one that it will have.
+func (c *Core) number(uid string) placer.NodeID {
+	id := NodeNumber(uid)
+	for c.nodes[id] != nil && c.nodes[id].UID != uid {
+		id++ // two names with one number
 	}
+	return id
+}
+
+// apply enters one event of the bulletin and returns the entries that changed. One that cannot be used changes nothing.
+func (c *Core) apply(ev *bulletinEvent) (changed []placer.Node, err error) {
 	r := ev.Roster
 	if r == nil {
-		return ev, nil, nil
+		return nil, nil
 	}
 	for i := range r.Targets {
 		if e := &r.Targets[i]; e.UID == "" || state(e.State) < 0 {
-			return ev, nil, fmt.Errorf("bulletin event %d: target %d: uid %q, state %q", ev.No, i, e.UID, e.State)
+			return nil, fmt.Errorf("bulletin event %d: target %d: uid %q, state %q", ev.No, i, e.UID, e.State)
 		}
 	}
 	listed := map[placer.NodeID]bool{}
 	for i := range r.Targets {
 		e := &r.Targets[i]
-		id := NodeNumber(e.UID)
-		for c.nodes[id] != nil && c.nodes[id].UID != e.UID {
-			id++ // two names with one number
-		}
+		id := c.number(e.UID)
 		n := c.nodes[id]
 		if n == nil {
 			n = &Node{ID: id, UID: e.UID, State: placer.Gone, standing: map[*Offer]struct{}{}}
@@ -105,7 +107,7 @@
 			}
 		}
 	}
-	return ev, changed, nil
+	return changed, nil
 }
 
 func state(s string) int {
@@ -124,23 +126,21 @@
 // is to be asked again from Last on.
 func (c *Core) Bulletin(now float64, data []byte) (ok bool, err error) {
 	c.tick(now)
-	var head struct {
-		No uint64 `json:"no"`
-	}
-	if err := json.Unmarshal(data, &head); err != nil {
+	var ev bulletinEvent
+	if err := json.Unmarshal(data, &ev); err != nil {
 		return false, fmt.Errorf("bulletin event: %w", err)
 	}
 	switch {
-	case head.No <= c.last:
+	case ev.No <= c.last:
 		return true, nil // had already
-	case head.No > c.last+1:
+	case ev.No > c.last+1:
 		return false, nil
 	}
-	ev, changed, err := c.apply(data)
+	changed, err := c.apply(&ev)
 	if err != nil {
 		return false, err
 	}
-	c.last = head.No
+	c.last = ev.No
 	if ev.Roster == nil {
 		return true, nil
 	}
--- a/internal/platform/bulletin.go
+++ b/internal/platform/bulletin.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"strconv"
 
 	"heathshed/internal/backoff"
@@ -138,5 +139,5 @@
 	s.c.Streaming(s.l.Now(), false)
 	s.pump()
 	b.again.Stop()
-	b.again = s.l.After(b.retry.Next(0.5), b.open)
+	b.again = s.l.After(b.retry.Next(rand.Float64()), b.open)
 }
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"slices"
 
 	"golang.org/x/sys/unix"
@@ -148,7 +149,7 @@
 func (k *link) failed(err error) {
 	s := k.s
 	s.stats.DialsFailed++
-	k.retryAt = s.l.Now() + k.retry.Next(0.5)
+	k.retryAt = s.l.Now() + k.retry.Next(rand.Float64())
 	k.reach.Failed(s.l.Now(), errors.Is(err, unix.ECONNREFUSED))
 	q := k.queue
 	k.queue = nil
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,8 +5,8 @@
 package platform
 
 import (
+	"bytes"
 	"fmt"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -29,6 +29,7 @@
 	spareSockets  = 16 // files, the loop's own descriptors, the bulletin's
 	linesPerTurn  = 64 // of one connection, then it is the turn of others
 	unsentToOwner = 256 << 10
+	warnings      = 5 // in the log, a second
 )
 
 // Server is one scheduler.
@@ -39,7 +40,6 @@
 	log  zerolog.Logger
 	ln   *loop.Listener
 	due  *loop.Timer
-	now  func() float64
 	done func()
 
 	owners    map[dispatch.ConnID]*ownerConn
@@ -97,9 +97,6 @@
 // Addr is the address listened at.
 func (s *Server) Addr() string { return s.ln.Addr() }
 
-// Core is the core, for who looks on.
-func (s *Server) Core() *dispatch.Core { return s.c }
-
 // Reload goes over to the bulletin that a new configuration names.
 func (s *Server) Reload(cfg *Config) {
 	if cfg.Bulletin != s.bulletin.addr {
@@ -175,10 +172,6 @@
 		if oc := s.owners[e.Conn]; oc != nil {
 			oc.write(&e.Message)
 		}
-	case dispatch.Hang:
-		if oc := s.owners[e.Conn]; oc != nil {
-			oc.lc.CloseAfterFlush()
-		}
 	case dispatch.Send:
 		s.link(e.Offer.Node).send(e.Offer)
 	case dispatch.Release:
@@ -245,7 +238,7 @@
 func (s *Server) lines(lc *loop.Conn, b []byte, f func(line []byte) error) (int, error) {
 	n := 0
 	for range linesPerTurn {
-		i := indexEnd(b[n:])
+		i := bytes.IndexByte(b[n:], '\n')
 		if i < 0 {
 			if len(b)-n >= jsonl.MaxLine {
 				return n, jsonl.ErrTooLong
@@ -266,26 +259,17 @@
 	return n, nil
 }
 
-func indexEnd(b []byte) int {
-	for i, c := range b {
-		if c == '\n' {
-			return i
-		}
-	}
-	return -1
-}
-
-// complaints bounds how often one kind of bad input is logged.
+// complaints bounds how often bad input is logged.
 type complaints struct {
-	since time.Time
+	since float64
 	n     int
 }
 
 func (s *Server) warn(what, peer string, err error) {
-	if s.l.Now() > float64(s.complain.since.Unix())+1 {
-		s.complain = complaints{since: time.Unix(int64(s.l.Now()), 0)}
+	if now := s.l.Now(); now > s.complain.since+1 {
+		s.complain = complaints{since: now}
 	}
-	if s.complain.n++; s.complain.n <= 5 {
+	if s.complain.n++; s.complain.n <= warnings {
 		s.log.Warn().Str("peer", peer).Err(err).Msg(what)
 	}
 }
