Connections to machines stay within their seats; links go with their machines

Observed by tests written for points that nothing showed yet: with 64 descriptors and 30 machines there were 30 connections to machines where 14 are allowed, because link.dial went on when freeNodeConn found none to close; and a link stayed for good when what stood at a gone machine went after the bulletin's last word (platform.follow runs on that word only).

Change: a dial needs a seat, chosen by budget.Missed as for owners; machines that hold tasks take turns where seats are short; without one an offer is unreachable. Links are dropped by the regular look at them. connpool.Reach no longer calls a machine silent that nobody dialled.

Checked: TestSeatsOfMachines and TestLinksGoWithTheirMachines failed before, pass now; TestMachinesThatVanish plays refusal and silence over sockets.

--- a/internal/connpool/shared.go
+++ b/internal/connpool/shared.go
@@ -62,16 +62,18 @@
 	Refused float64 // and seconds of refusals
 
 	word, refused float64
+	failed        bool // a dial, since the last word
 }
 
 // Word tells that something came from the machine, or that a connection came up.
-func (r *Reach) Word(now float64) { r.word, r.refused = now, 0 }
+func (r *Reach) Word(now float64) { r.word, r.refused, r.failed = now, 0, false }
 
 // Failed tells that a dial failed, and whether it was refused rather than left without an answer.
 func (r *Reach) Failed(now float64, refused bool) {
 	if r.word == 0 {
 		r.word = now
 	}
+	r.failed = true
 	switch {
 	case !refused:
 		r.refused = 0
@@ -80,7 +82,7 @@
 	}
 }
 
-// Lost says whether the machine is to be taken for lost.
+// Lost says whether the machine is to be taken for lost. One that was not dialled has not been silent.
 func (r *Reach) Lost(now float64) bool {
-	return r.word > 0 && now-r.word > r.Silent || r.refused > 0 && now-r.refused > r.Refused
+	return r.failed && now-r.word > r.Silent || r.refused > 0 && now-r.refused > r.Refused
 }
--- a/internal/connpool/shared_test.go
+++ b/internal/connpool/shared_test.go
@@ -43,6 +43,10 @@
 	if r.Lost(110) {
 		t.Error("a dial without an answer ends the refusals")
 	}
+	r.Word(200)
+	if r.Lost(300) {
+		t.Error("not dialled: want no verdict")
+	}
 	var none Reach
 	none.Silent, none.Refused = 6, 1
 	none.Failed(50, false)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"heathshed/internal/backoff"
+	"heathshed/internal/budget"
 	"heathshed/internal/connpool"
 	"heathshed/internal/dispatch"
 	"heathshed/internal/jsonl"
@@ -24,6 +25,10 @@
 	refusedFor = 1.0
 )
 
+// seatFor is how long, in seconds, a connection to a machine that holds tasks keeps its seat where there are more such machines than seats.
+// They take turns then, so that each can say within 8 s how its tasks end.
+const seatFor = 2.0
+
 const owedBytes = 64 << 10 // of releases that wait for a connection, for each machine
 
 // link is all connections to one machine, told apart by its uid: another machine may sit where it was.
@@ -48,6 +53,7 @@
 	lc     *loop.Conn
 	offers map[*dispatch.Offer]struct{}
 	up     bool
+	since  float64 // when it came up
 	line   connpool.Line
 	m      jsonl.Message
 }
@@ -55,7 +61,7 @@
 func (s *Server) link(id placer.NodeID) *link {
 	k := s.links[id]
 	if k == nil {
-		k = &link{s: s, id: id, retry: backoff.Backoff{Min: 0.2, Max: 1}, reach: connpool.Reach{Silent: silentFor, Refused: refusedFor}}
+		k = &link{s: s, id: id, retry: backoff.Backoff{Min: 0.2, Max: 1}, reach: s.reach}
 		if n := s.c.Node(id); n != nil {
 			k.addr = n.Addr
 		}
@@ -64,27 +70,19 @@
 	return k
 }
 
-// follow brings the links in line with the roster: a machine that has moved is spoken to at its new address, one that is gone and holds
-// nothing is not spoken to.
+// follow brings the links in line with the roster: a machine that has moved is spoken to at its new address.
 func (s *Server) follow() {
 	s.c.Nodes(func(n *dispatch.Node) {
-		// A machine that holds a task taken over at the start was never offered one from here: without a connection it could not say how
-		// that task ends.
 		k := s.links[n.ID]
-		if k == nil && n.Standing() > 0 {
-			k = s.link(n.ID)
-		}
-		if k == nil {
-			return
-		}
-		if k.addr != n.Addr {
+		switch {
+		case k == nil && n.Standing() > 0:
+			// One that holds a task taken over at the start was never offered one from here: without a connection it could not say how that
+			// task ends.
+			s.link(n.ID)
+		case k != nil && k.addr != n.Addr:
 			k.addr = n.Addr
 			k.closeAll()
 		}
-		if n.State == placer.Gone && n.Standing() == 0 {
-			k.closeAll()
-			delete(s.links, n.ID)
-		}
 	})
 }
 
@@ -125,8 +123,9 @@
 		return
 	}
 	s := k.s
-	if s.nodeConns >= s.maxNodes {
-		s.freeNodeConn()
+	if s.nodeConns >= s.maxNodes && !s.freeSeat() {
+		s.l.After(0, func() { k.failed(errNoSeat) })
+		return
 	}
 	s.nextNode++
 	c := &nodeConn{k: k, no: s.nextNode, offers: map[*dispatch.Offer]struct{}{}}
@@ -150,7 +149,9 @@
 	s := k.s
 	s.stats.DialsFailed++
 	k.retryAt = s.l.Now() + k.retry.Next(rand.Float64())
-	k.reach.Failed(s.l.Now(), errors.Is(err, unix.ECONNREFUSED))
+	if err != errNoSeat { // that says nothing of the machine
+		k.reach.Failed(s.l.Now(), errors.Is(err, unix.ECONNREFUSED))
+	}
 	q := k.queue
 	k.queue = nil
 	for _, o := range q {
@@ -159,22 +160,24 @@
 	s.pump()
 }
 
-// freeNodeConn closes the longest idle connection to a machine that holds nothing of ours.
-func (s *Server) freeNodeConn() {
-	var worst *nodeConn
+var errNoSeat = errors.New("no descriptor is left for a connection to a machine")
+
+// freeSeat closes the connection to a machine that is missed least, and says whether there was one.
+func (s *Server) freeSeat() bool {
+	now := s.l.Now()
+	var guests []budget.Guest
+	var conns []*nodeConn
 	for _, k := range s.links {
-		if n := s.c.Node(k.id); n != nil && n.Standing() > 0 && len(k.conns) < 2 {
-			continue
-		}
 		for _, c := range k.conns {
-			if len(c.offers) == 0 && (worst == nil || c.line.Used < worst.line.Used) {
-				worst = c
-			}
+			guests = append(guests, budget.Guest{Busy: len(c.offers) > 0 || k.holds && now-c.since < seatFor, Known: k.holds, Idle: now - c.line.Used})
+			conns = append(conns, c)
 		}
 	}
-	if worst != nil {
-		worst.lc.Close()
+	i := budget.Missed(guests)
+	if i >= 0 {
+		conns[i].lc.Close()
 	}
+	return i >= 0
 }
 
 func (c *nodeConn) send(o *dispatch.Offer) {
@@ -229,6 +232,11 @@
 	now := s.l.Now()
 	n := s.c.Node(k.id)
 	holds := n != nil && n.Standing() > 0
+	if !holds && (n == nil || n.State == placer.Gone) {
+		k.closeAll()
+		delete(s.links, k.id)
+		return
+	}
 	if holds && !k.holds {
 		k.reach.Word(now) // what came of it before says nothing of these tasks
 	}
@@ -256,7 +264,7 @@
 		return
 	}
 	// One that has gone is not dialled: another machine may sit there by now, and its word would be taken for the gone one's.
-	if k.dialing == nil && now >= k.retryAt && n != nil && n.State != placer.Gone {
+	if k.dialing == nil && now >= k.retryAt && n.State != placer.Gone {
 		k.dial()
 	}
 }
@@ -266,7 +274,7 @@
 func (c *nodeConn) Opened(lc *loop.Conn) {
 	k := c.k
 	s := k.s
-	c.up, c.line.Heard, c.line.Used = true, s.l.Now(), s.l.Now()
+	c.up, c.since, c.line.Heard, c.line.Used = true, s.l.Now(), s.l.Now(), s.l.Now()
 	k.reach.Word(s.l.Now())
 	if k.dialing == c {
 		k.dialing = nil
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -49,6 +49,7 @@
 	guestOf   []*ownerConn
 	maxNodes  int
 	shared    connpool.Shared
+	reach     connpool.Reach // as each machine's begins
 	nodeConns int
 	nextNode  uint64
 	links     map[placer.NodeID]*link
@@ -73,6 +74,7 @@
 	}
 	s := &Server{l: l, c: core, cfg: cfg, log: log, done: done, owners: map[dispatch.ConnID]*ownerConn{},
 		links: map[placer.NodeID]*link{}}
+	s.reach = connpool.Reach{Silent: silentFor, Refused: refusedFor}
 	s.shared = connpool.DefaultShared()
 	s.shared.MaxIdle = cfg.Settings.ConnIdle * 0.6 // well before the machine closes it: an offer must not cross that
 	sockets := cfg.Sockets
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"heathshed/internal/loop"
 	"heathshed/placer"
@@ -525,3 +527,115 @@
 		t.Error("an empty file is taken")
 	}
 }
+
+// silentPort accepts no connection and refuses none, as a machine that has vanished: its queue of connections is full.
+func silentPort(t *testing.T, port int) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", sa.(*unix.SockaddrInet4).Port)
+	for {
+		c, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
+// TestMachinesThatVanish: what stands at a machine that says nothing any more is released to its owner, whether connections to it are refused
+// or never come up, and what was kept for the machine goes.
+func TestMachinesThatVanish(t *testing.T) {
+	for _, how := range []string{"refuses", "silent"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			n := machine(t, func(c net.Conn, line string) {
+				if strings.Contains(line, `"launch"`) { // tests are not answered
+					accepts(c, line)
+				}
+			})
+			sv := serve(t, 256, n.addr)
+			sv.on(func() { sv.reach.Silent = 2 })
+			o := sv.owner()
+			io.WriteString(o, launch(1, "seats", `"x"`))
+			o.want(`"running"`)
+			n.ln.Close()
+			if how == "silent" {
+				_, port, _ := net.SplitHostPort(n.addr)
+				p, _ := strconv.Atoi(port)
+				silentPort(t, p)
+			}
+			o.want(`"stop"`, `"reason":41`)
+			sv.on(func() {
+				if sv.stats.MachinesLost != 1 || sv.c.Standing() != 0 || sv.c.Counts.Lost != 1 {
+					t.Errorf("%+v, %+v", sv.stats, sv.c.Counts)
+				}
+			})
+		})
+	}
+}
+
+// TestSeatsOfMachines: connections to machines stay within their part of the descriptors, and an offer that finds no seat is told as
+// unreachable rather than made with a seat of somebody else's.
+func TestSeatsOfMachines(t *testing.T) {
+	var addrs []string
+	for range 30 {
+		addrs = append(addrs, machine(t, accepts).addr)
+	}
+	sv := serve(t, 64, addrs...)
+	o := sv.owner()
+	for i := range 200 {
+		io.WriteString(o, launch(i+1, "query", `"x"`))
+		o.want(fmt.Sprintf("%016x", i+1))
+	}
+	sv.on(func() {
+		if sv.nodeConns > sv.maxNodes || sv.stats.MachinesLost > 0 {
+			t.Errorf("%d connections to machines, %d allowed; %d machines lost", sv.nodeConns, sv.maxNodes, sv.stats.MachinesLost)
+		}
+	})
+}
+
+// TestLinksGoWithTheirMachines: nothing is kept for machines that the bulletin ended long ago, also where what stood there went last.
+func TestLinksGoWithTheirMachines(t *testing.T) {
+	n := machine(t, accepts)
+	sv := serve(t, 256, n.addr)
+	o := sv.owner()
+	c := wait(t, "call", sv.board.calls)
+	for i := range 20 {
+		io.WriteString(o, launch(i+1, "query", `"x"`))
+		o.want(`"running"`)
+		no := 2 + i
+		c.text <- fmt.Sprintf("id: %d\ndata: %s\n\n", no, event(no, entry(no-1, n.addr, "terminated"), entry(no, n.addr, "in_service")))
+		o.want(`"stop"`, `"reason":41`) // a second later
+		if i == 1 {
+			break
+		}
+	}
+	gone := make(chan struct{})
+	sv.l.Post(func() {
+		var look func()
+		look = func() {
+			if len(sv.links) == 0 {
+				close(gone)
+				return
+			}
+			sv.l.After(0.05, look)
+		}
+		look()
+	})
+	wait(t, "end of the links", gone)
+}
