Loop: read a connection now, act at the end of a turn, empty a listener before it closes

Need: what the system knows by now has to be heard before something that cannot be taken back, whatever order the events of one turn come in, and a listener that closes resets the connections that wait in its backlog. Change: Conn.ReadNow, Conn.Paused, Loop.AtEnd, Listener.Drain; nothing uses them yet. Result: tests of loop pass.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -17,6 +17,8 @@
 	ErrClosedHere     = errors.New("closed on this side")
 )
 
+const maxReadNow = 64 // pieces at once, of a peer that sends as fast as they are read
+
 // Handler gets what happens to one connection, on the loop's goroutine.
 type Handler interface {
 	// Opened is called once: when an accepted connection begins, or a dialled one is established.
@@ -96,6 +98,19 @@
 // Closed says whether the connection is over.
 func (c *Conn) Closed() bool { return c.closed }
 
+// Paused says whether reading has stopped, so that bytes and the peer's end may be unread.
+func (c *Conn) Paused() bool { return c.paused }
+
+// ReadNow delivers what the system has received by now, the peer's end included, rather than what it had at the beginning of the turn. It
+// does nothing within the connection's own Data, or while reading is paused.
+func (c *Conn) ReadNow() {
+	for range maxReadNow {
+		if c.closed || c.dialling || c.paused || c.eof || c.inData || !c.read() {
+			return
+		}
+	}
+}
+
 // Write queues bytes; they leave at the end of the turn. The slice is copied.
 func (c *Conn) Write(b []byte) {
 	if c.closed || c.closing {
@@ -268,18 +283,21 @@
 	}
 }
 
-func (c *Conn) read() {
+// read takes one piece, and says whether there may be more.
+func (c *Conn) read() bool {
 	n, err := unix.Read(c.fd, c.l.buf)
 	switch {
-	case err == unix.EAGAIN || err == unix.EINTR:
-		return
+	case err == unix.EINTR:
+		return true
+	case err == unix.EAGAIN:
+		return false
 	case err != nil:
 		c.fail(fmt.Errorf("read: %w", err))
 	case n == 0:
 		c.eof = true
 		if c.closing {
 			c.fail(ErrClosedHere)
-			return
+			return false
 		}
 		c.update()
 		c.deliver(nil)
@@ -287,6 +305,7 @@
 	default:
 		c.deliver(c.l.buf[:n])
 	}
+	return n > 0
 }
 
 // deliver hands bytes over; what is not consumed is kept. An idle connection holds no buffer.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -28,6 +28,7 @@
 	readChunk       = 64 << 10
 	sendBuffer      = 128 << 10 // of the system, for an accepted connection; it takes twice as much
 	acceptBatch     = 64
+	maxBacklog      = 4096 // connections that wait to be accepted
 	maxSpare        = 64 << 10
 	maxSpares       = 256
 )
@@ -52,6 +53,7 @@
 	timers timers.Queue
 	dirty  []*Conn
 	again  []*Conn
+	ends   []func()
 	buf    []byte
 	spare  [][]byte // queues of connections that have nothing to send
 
@@ -114,6 +116,9 @@
 	l.mu.Unlock()
 }
 
+// AtEnd has f run once at the end of this turn, after all that was ready and due, before what handlers wrote goes out.
+func (l *Loop) AtEnd(f func()) { l.ends = append(l.ends, f) }
+
 // Stop ends Run after the present turn.
 func (l *Loop) Stop() {
 	l.mu.Lock()
@@ -136,7 +141,7 @@
 			return nil
 		}
 		wait := -1
-		if waiting || len(l.again) > 0 {
+		if waiting || len(l.again) > 0 || len(l.ends) > 0 {
 			wait = 0
 		} else if l.timers.Len() > 0 {
 			d := l.timers.Next() - l.readClock()
@@ -198,6 +203,11 @@
 			c.deliver(nil)
 		}
 	}
+	for n := len(l.ends); n > 0; n-- {
+		f := l.ends[0]
+		l.ends = l.ends[1:]
+		f()
+	}
 	// What handlers wrote goes out once a turn, so that the answers of a pipeline share a system call.
 	for len(l.dirty) > 0 {
 		dirty := l.dirty
@@ -272,7 +282,7 @@
 	}
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	if err = unix.Bind(fd, sockaddr(ap)); err == nil {
-		err = unix.Listen(fd, 4096)
+		err = unix.Listen(fd, maxBacklog)
 	}
 	if err != nil {
 		unix.Close(fd)
@@ -305,7 +315,15 @@
 	}
 }
 
-func (ln *Listener) accept() {
+// Drain accepts what has come by now: connections that the system has taken in are reset when their listener closes, with all that was sent
+// on them.
+func (ln *Listener) Drain() {
+	for n := 0; n < maxBacklog && !ln.Closed() && ln.accept(); n += acceptBatch {
+	}
+}
+
+// accept takes in some connections, and says whether there may be more.
+func (ln *Listener) accept() bool {
 	l := ln.l
 	// Few at a time where there are few seats: whoever makes room for a newcomer has to have heard those that came before it, or a crowd
 	// that says nothing takes all seats in one turn.
@@ -326,9 +344,9 @@
 				l.reserve, _ = unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
 				continue
 			}
-			return
+			return false
 		default:
-			return
+			return false
 		}
 		if l.accepted >= l.maxConns {
 			unix.Close(fd)
@@ -346,6 +364,7 @@
 		c.h = ln.handler(c)
 		c.h.Opened(c)
 	}
+	return true
 }
 
 func (l *Loop) add(fd int, events uint32) *Conn {
