A release that crossed the end of its owner's connection goes out once more

Found by reading: a release written on a connection that its owner closes at that moment is lost, and the task counts as left standing. A move likewise: its machine confirms with cause 31, so its owner hears nothing at all. Change: the core keeps releases until they are said to be heard; when their connection ends they go out on another. Owners that never say what they hear are covered for a second.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,6 +27,9 @@
 	movedWord   = 0.4  // a machine confirms the end of a task that was moved within this, or did not hear of it as a move
 	goneGrace   = 1.0  // after the bulletin's word that a machine has gone its tasks are taken for lost
 	bootSlack   = 1.0  // clocks and lists are rough: a task bound this near a machine's start is of its new life
+	unreadFor   = 1.0  // a release is taken for unread if its connection ends within this and its owner does not say what it hears
+	handover    = 1.0  // after the first test, tasks that stand already are named by the hundred
+	namedGap    = 0.05 // the next one follows within this
 	lateFor     = 5.0  // beyond the time that owners look for a task, an attempt given up is remembered
 )
 
@@ -116,21 +119,31 @@
 }
 
 type owner struct {
-	open  map[*task]struct{}
-	good  float64 // when a set-up of it last came to stand
-	heard float64 // when a message of it last made sense
+	open   map[*task]struct{}
+	good   float64 // when a set-up of it last came to stand
+	heard  float64 // when a message of it last made sense
+	unread []owed  // releases sent on it of which it has not said that they were heard
+	says   bool    // it says so, which the protocol leaves to it
 }
 
+// owed is a release that an owner is still to be sent, or to have heard.
 type owed struct {
 	m     jsonl.Message
 	until float64
+	move  bool // m stands for a move, which is never said to be heard
+}
+
+// gone is the word that a task has ended at a machine.
+type gone struct {
+	cause int
+	until float64 // remembered
 }
 
 // Counts are what happened since the start.
 type Counts struct {
 	SetUps, Taken, Answered, Refused, Failed, Withdrawn                            uint64
 	Offers, Bound, Full, Errors, Unreachable, Broken, TimedOut, Moot, Late, Unheld uint64
-	Ends, Moves, Lost, Owed, OwedLost, Bad                                         uint64
+	Ends, Moves, Lost, Owed, OwedLost, Retold, Bad                                 uint64
 }
 
 // Core holds the state. It is for one goroutine.
@@ -326,6 +339,14 @@
 	for _, t := range sorted(ow.open) {
 		c.withdraw(t)
 	}
+	// A release that crossed the end of its connection was told to nobody: it goes out once more. Owners take a second one for a task that
+	// they know no more.
+	for _, o := range ow.unread {
+		if sent := o.until - owedFor; o.until > c.now && (ow.says && !o.move || c.now-sent < unreadFor) {
+			c.Counts.Retold++
+			c.toAnyOwner(0, o)
+		}
+	}
 	c.run()
 }
 
@@ -370,6 +391,9 @@
 	switch m.Kind {
 	case jsonl.Check:
 		c.tell(id, reply(m, jsonl.Checked, 1))
+	case jsonl.Stopped:
+		ow.says = true
+		ow.unread = slices.DeleteFunc(ow.unread, func(o owed) bool { return o.m.ID == m.ID && !o.move })
 	case jsonl.Launch:
 		return c.setUp(id, ow, m)
 	case jsonl.Stop:
@@ -577,12 +601,28 @@
 // toOwner sends what is owed for a task that stood: on its own connection, else on one that owners of standing tasks use, the latest first,
 // else on the next one that opens.
 func (c *Core) toOwner(t *task, m jsonl.Message) {
-	if id := c.anyOwner(t.conn); id != 0 {
-		c.tell(id, m)
+	c.toAnyOwner(t.conn, owed{m: m, until: c.now + owedFor})
+}
+
+func (c *Core) toAnyOwner(first ConnID, o owed) {
+	if id := c.anyOwner(first); id != 0 {
+		c.tellOwed(id, o)
 		return
 	}
 	c.Counts.Owed++
-	c.owed = append(c.owed, owed{m, c.now + owedFor})
+	c.owed = append(c.owed, o)
+}
+
+// tellOwed sends a release and remembers it for as long as it is owed, or until it was heard.
+func (c *Core) tellOwed(id ConnID, o owed) {
+	c.tell(id, o.m)
+	if o.m.Kind == jsonl.Migrate {
+		// Sent once more, it is the release that follows from it: where the move was heard, that one is for a task of the past.
+		o.m, o.move = reply(&o.m, jsonl.Stop, jsonl.CauseCancelled), true
+	}
+	ow := c.owners[id]
+	ow.unread = slices.DeleteFunc(ow.unread, func(o owed) bool { return o.until <= c.now })
+	ow.unread = append(ow.unread, o)
 }
 
 func (c *Core) anyOwner(first ConnID) ConnID {
@@ -609,7 +649,7 @@
 			c.Counts.OwedLost++
 			continue
 		}
-		c.tell(id, o.m)
+		c.tellOwed(id, o)
 	}
 	c.owed = nil
 }
