An end that a machine tells before its task is named here is kept for its owner

Ruled out: no line "not in the bulletin", none of id in use; the core counted such words as Unheld (97 at n6) and forgot them: FromNode returns for a place it does not know, and holds() then took the task for one that stands, for ever. Change: the core remembers such ends for the 8 s for which they are owed, as many as there may be tasks, and answers the naming with the release.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,7 +35,8 @@
 
 const (
 	causeLost = jsonl.CauseReset
-	maxTasks  = 20000 // set-ups and standing tasks held at a time; each takes about 2 KB
+	maxEnds   = maxTasks // ends of unknown tasks remembered
+	maxTasks  = 20000    // set-ups and standing tasks held at a time; each takes about 2 KB
 )
 
 // ConnID numbers a connection of owners. 0 is none.
@@ -141,7 +142,7 @@
 
 // Counts are what happened since the start.
 type Counts struct {
-	SetUps, Taken, Answered, Refused, Failed, Withdrawn                            uint64
+	SetUps, Named, Taken, Answered, Refused, Failed, Withdrawn                     uint64
 	Offers, Bound, Full, Errors, Unreachable, Broken, TimedOut, Moot, Late, Unheld uint64
 	Ends, Moves, Lost, Owed, OwedLost, Retold, Bad                                 uint64
 }
@@ -161,6 +162,10 @@
 	places    map[place]*Offer   // all that a machine may still speak of
 	owners    map[ConnID]*owner
 	owed      []owed
+	ends      map[place]gone // of tasks that are not known here: one that is about to be named may have ended meanwhile
+	endsBy    []place        // the same, the latest last
+	testedAt  float64        // when the first test passed
+	namedAt   float64        // when a task that stands was last named
 	next      placer.TaskID
 	last      uint64
 	streaming bool
@@ -171,7 +176,7 @@
 // New makes a core, with the events of the bulletin that the configuration knows.
 func New(now float64, s *simsettings.Settings, p feed.Module, knownEvents []byte) (*Core, error) {
 	c := &Core{s: s, now: now, nodes: map[placer.NodeID]*Node{}, tasks: map[placer.TaskID]*task{}, byID: map[jsonl.ID]*task{},
-		places: map[place]*Offer{}, owners: map[ConnID]*owner{}}
+		places: map[place]*Offer{}, ends: map[place]gone{}, owners: map[ConnID]*owner{}}
 	c.module = feed.Feed{Module: p, Do: c.act}
 	var k known
 	if len(knownEvents) > 0 {
@@ -440,7 +445,9 @@
 		return nil
 	}
 	if at != "" {
-		return c.holds(id, ow, m, task, at)
+		c.Counts.Named++
+		c.namedAt = c.now
+		return c.holds(id, m, task, at)
 	}
 	t := c.add(id, m, task)
 	c.open++
@@ -460,7 +467,7 @@
 }
 
 // holds takes over a task that a machine holds already.
-func (c *Core) holds(id ConnID, ow *owner, m *jsonl.Message, x placer.Task, at string) error {
+func (c *Core) holds(id ConnID, m *jsonl.Message, x placer.Task, at string) error {
 	n := c.nodes[c.number(at)]
 	if n == nil {
 		return bad("at", "launch %s: extras: at: %.40q is not in the bulletin", m.UID, at)
@@ -468,8 +475,14 @@
 	if old := c.places[place{n.ID, m.ID}]; old != nil {
 		c.forget(old) // an attempt given up that was accepted after all
 	}
+	if e, ended := c.ends[place{n.ID, m.ID}]; ended {
+		// Its owner named it while its end was on its way here: no second word of that would come.
+		c.Counts.Ends++
+		c.tellOwed(id, owed{m: reply(m, jsonl.Stop, e.cause), until: c.now + owedFor})
+		return nil
+	}
 	t := c.add(id, m, x)
-	ow.good = c.now
+	c.owners[id].good = c.now
 	o := &Offer{Node: n.ID, Message: t.toNode(), t: t, state: bound, sent: c.now, bound: c.now}
 	t.offers = append(t.offers, o)
 	c.places[place{n.ID, m.ID}] = o
--- a/internal/dispatch/offers.go
+++ b/internal/dispatch/offers.go
@@ -143,6 +143,9 @@
 		if m.Kind == jsonl.Running || m.Kind == jsonl.Stop {
 			c.Counts.Unheld++
 		}
+		if o == nil && m.Kind == jsonl.Stop {
+			c.noteEnd(place{node, m.ID}, m.Reason)
+		}
 		return
 	}
 	switch m.Kind {
@@ -231,6 +234,38 @@
 		}
 	case givenUp:
 		c.forget(o)
+		c.noteEnd(place{o.Node, o.t.m.ID}, m.Reason)
+	}
+}
+
+// noteEnd keeps the word of an end for as long as its owner may yet name the task as one that stands here. After a start a machine tells on
+// its first connection what ended while nobody was connected, and may be quicker than the owners with their thousands of tasks. A machine may
+// say a great many such things, so their number is bounded: the earliest go first.
+func (c *Core) noteEnd(p place, cause int) {
+	if _, twice := c.ends[p]; twice {
+		return
+	}
+	if len(c.endsBy) >= maxEnds {
+		delete(c.ends, c.endsBy[0])
+		c.endsBy = c.endsBy[1:]
+	}
+	c.endsBy = append(c.endsBy, p)
+	c.ends[p] = gone{cause, c.now + owedFor}
+	if len(c.endsBy) == 1 {
+		c.timers.Add(c.now+owedFor, c.forgetEnds)
+	}
+}
+
+// forgetEnds drops the words of ends that are too old to matter, so that none is held when nothing more comes.
+func (c *Core) forgetEnds() {
+	n := 0
+	for n < len(c.endsBy) && c.ends[c.endsBy[n]].until <= c.now {
+		delete(c.ends, c.endsBy[n])
+		n++
+	}
+	c.endsBy = slices.Delete(c.endsBy, 0, n)
+	if len(c.endsBy) > 0 {
+		c.timers.Add(c.ends[c.endsBy[0]].until, c.forgetEnds)
 	}
 }
 
--- a/internal/platform/order_test.go
+++ b/internal/platform/order_test.go
@@ -103,3 +103,34 @@
 	io.WriteString(b, test)
 	b.want(`"stop"`, "0000000000000001", `"reason":16`)
 }
+
+// TestMachineQuickerThanItsTasksOwner: after a start a machine tells, on its first connection, what ended while nobody was connected, before
+// the owner has named that task as one that stands there.
+func TestMachineQuickerThanItsTasksOwner(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			io.WriteString(c, stop(1, 16)+stop(2, 41))
+			io.Copy(io.Discard, c)
+		}
+	}()
+	sv := serve(t, 256, ln.Addr().String())
+	o := sv.owner()
+	named := func(id int) string {
+		return strings.Replace(launch(id, "query", `"x"`), "service:", "at:s-00000001;service:", 1)
+	}
+	io.WriteString(o, test+named(1))
+	o.want(`"stop"`, "0000000000000001", `"reason":16`)
+	sv.until("both ends", func() bool { return sv.c.Counts.Unheld == 1 })
+	io.WriteString(o, named(2))
+	o.want(`"stop"`, "0000000000000002", `"reason":41`)
+	sv.on(func() {
+		if sv.c.Standing() != 0 {
+			t.Errorf("%d stand", sv.c.Standing())
+		}
+	})
+}
