No attempt goes out for an owner that has left by then

Need: an owner that closed its connection or cancelled is owed no attempt, also where its end and the connection, wake-up or answer that has the attempt go out are ready in one turn, and where many lines stand before its cancel. At fault: pump() sent attempts while the events of the turn behind it were unread; lines of a connection beyond 64 waited a turn, attempts did not. Change: attempts begin at the end of the turn; each owner is read once more before, and one whose lines wait for their turn has its attempts wait too. One system call more for each attempt. Result: seven orders forced on sockets; without the mend, an attempt is made in each of them that the test can tell.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -97,6 +97,12 @@
 // Live says whether the offer still waits for an answer or stands.
 func (o *Offer) Live() bool { return o.state <= bound }
 
+// Owner is the connection that the task came on.
+func (o *Offer) Owner() ConnID { return o.t.conn }
+
+// Waiting says whether the offer is still to be sent.
+func (o *Offer) Waiting() bool { return o.state == waiting }
+
 // Age is how long ago the module made the offer, in seconds.
 func (o *Offer) Age(now float64) float64 { return now - o.sent }
 
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -280,7 +280,7 @@
 	q := k.queue
 	k.queue = nil
 	for _, o := range q {
-		c.send(o)
+		s.start(o)
 	}
 	s.pump()
 }
--- a/internal/platform/order_test.go
+++ b/internal/platform/order_test.go
@@ -80,6 +80,66 @@
 	}
 }
 
+// TestDeparturesComeBeforeAttempts: no attempt is made for a set-up whose owner has closed its connection, or cancelled, before its first byte
+// goes out.
+func TestDeparturesComeBeforeAttempts(t *testing.T) {
+	many := strings.Repeat(test, linesPerTurn+10)
+	for name, leave := range map[string]func(c *client){
+		"closes behind its set-up":    func(c *client) { io.WriteString(c, launch(2, "query", `"x"`)); c.Close() },
+		"cancels in the same segment": func(c *client) { io.WriteString(c, launch(2, "query", `"x"`)+stop(2, 16)) },
+		"cancels many lines on":       func(c *client) { io.WriteString(c, launch(2, "query", `"x"`)+many+stop(2, 16)) },
+		"closes behind many lines":    func(c *client) { io.WriteString(c, many+launch(2, "query", `"x"`)+many); c.Close() },
+		"resets": func(c *client) {
+			io.WriteString(c, launch(2, "query", `"x"`))
+			c.Conn.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		},
+		"sends single bytes, then takes it back": func(c *client) {
+			for _, b := range []byte(launch(2, "query", `"x"`) + stop(2, 16)) {
+				c.Write([]byte{b})
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sv, n, o := connected(t)
+			c := sv.owner()
+			sv.hold(func() { leave(c) }, nil)
+			n.nothing(t, o)
+		})
+	}
+}
+
+// TestDepartureAndDialInOneTurn: the connection that an attempt waits for comes up in the turn in which its owner's end is known, and is told
+// of first.
+func TestDepartureAndDialInOneTurn(t *testing.T) {
+	n := machine(t, func(net.Conn, string) {})
+	sv := serve(t, 256)
+	c := sv.owner()
+	io.WriteString(c, launch(2, "query", `"x"`))
+	sv.until("set-up", func() bool { return sv.c.Open() == 1 })
+	// The attempt begins long after the set-up was read, when the module looks again for a machine: the owner's connection is ready only
+	// after the one that is dialled.
+	wait(t, "call", sv.board.calls).text <- fmt.Sprintf("id: 2\ndata: %s\n\n", event(2, entry(1, n.addr, "in_service")))
+	dialled, left := make(chan struct{}), make(chan struct{})
+	var look func()
+	look = func() {
+		sv.begin() // what is to be begun at the end of this turn
+		for _, k := range sv.links {
+			if k.dialing != nil {
+				close(dialled)
+				<-left
+				return
+			}
+		}
+		sv.l.AtEnd(look)
+	}
+	sv.l.Post(func() { sv.l.AtEnd(look) })
+	wait(t, "dial", dialled)
+	c.Close()
+	close(left)
+	n.nothing(t, sv.owner())
+}
+
 // TestReleaseOnAConnectionThatIsClosing: a release sent at the moment at which its owner closes the connection goes out once more, on the next.
 func TestReleaseOnAConnectionThatIsClosing(t *testing.T) {
 	conns := make(chan net.Conn, 1)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -56,6 +56,7 @@
 	links     map[placer.NodeID]*link
 	bulletin  *bulletin
 	resume    []*loop.Conn
+	starts    []*dispatch.Offer // attempts that go out at the end of the turn
 	stopping  bool
 	stopAt    float64
 	stats     Stats
@@ -190,7 +191,7 @@
 			oc.write(&e.Message)
 		}
 	case dispatch.Send:
-		s.link(e.Offer.Node).send(e.Offer)
+		s.start(e.Offer)
 	case dispatch.Release:
 		s.link(e.Offer.Node).release(e)
 	case dispatch.Held:
@@ -200,6 +201,34 @@
 	}
 }
 
+// start has an attempt go out at the end of the turn.
+func (s *Server) start(o *dispatch.Offer) {
+	s.starts = append(s.starts, o)
+	if len(s.starts) == 1 {
+		s.l.AtEnd(s.begin)
+	}
+}
+
+// begin sends the attempts that wait. An owner that has closed its connection or cancelled is owed none, and the end of its connection may be
+// ready in the same turn as the wake-up or the connection that has the attempt go out, in any order, or be known to the system only since:
+// so each owner is read once more, and what then comes of its departure ends the attempt before its first byte.
+func (s *Server) begin() {
+	all := s.starts
+	s.starts = nil
+	for _, o := range all {
+		if oc := s.owners[o.Owner()]; oc != nil {
+			oc.lc.ReadNow()
+			if oc.lc.Paused() && !oc.lc.Closed() { // lines of it wait for their turn; a cancel may be among them
+				s.start(o)
+				continue
+			}
+		}
+		if o.Waiting() {
+			s.link(o.Node).send(o)
+		}
+	}
+}
+
 // keep is what is done at regular times.
 func (s *Server) keep() {
 	s.sweepOwners()
