Owners' connections are looked at before they are closed, and nothing is told on a closing one

At fault: sweepOwners and makeRoom closed without reading what the system held; what the core told on a connection in its closing half second was dropped by the loop; half a line was taken for silence; the last connection of owners could be closed as a stranger's while tasks stood, and their ends then waited for the next one to open. Change: read first; to the core a closing connection is gone; a message begun less than 0.7 s ago is waited for; the last way to owners stays. Result: a test on sockets for each, seen to fail without it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -380,6 +380,20 @@
 	return 0, false
 }
 
+// OwnerNeeded says whether a connection is the only one that is known to be an owner's while tasks stand: their ends have no other way.
+func (c *Core) OwnerNeeded(id ConnID) bool {
+	ow := c.owners[id]
+	if ow == nil || ow.heard <= 0 || c.Standing() == 0 {
+		return false
+	}
+	for other, o := range c.owners {
+		if other != id && o.heard > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // FromOwner takes one message of an owner. An error says what makes no sense about it; where the message had an id, its sender has been
 // answered.
 func (c *Core) FromOwner(now float64, id ConnID, m *jsonl.Message) error {
--- a/internal/platform/order_test.go
+++ b/internal/platform/order_test.go
@@ -140,6 +140,83 @@
 	n.nothing(t, sv.owner())
 }
 
+// TestLookBeforeClosing: a set-up that the system has received on a connection about to be closed, as a stranger's or for its seat, is served.
+func TestLookBeforeClosing(t *testing.T) {
+	for name, closing := range map[string]func(sv *service){
+		"a stranger's": func(sv *service) { sv.sweepOwners() },
+		"for its seat": func(sv *service) { sv.makeRoom() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			sv := serve(t, 256, machine(t, accepts).addr)
+			c := sv.owner()
+			sv.until("owner", func() bool { return len(sv.owners) == 1 })
+			sv.hold(func() { io.WriteString(c, launch(1, "query", `"x"`)) }, func() {
+				for _, oc := range sv.owners {
+					oc.opened, oc.last = oc.opened-10, oc.last-10
+				}
+				closing(sv)
+			})
+			c.want(`"running"`)
+		})
+	}
+}
+
+// TestStrangerInPieces: a connection on which a message has come in part is no silent one yet; one that stays so is.
+func TestStrangerInPieces(t *testing.T) {
+	sv := serve(t, 256, machine(t, accepts).addr)
+	slow, half := sv.owner(), sv.owner()
+	text := launch(1, "query", `"x"`)
+	io.WriteString(slow, text[:40])
+	io.WriteString(half, text[:40])
+	sv.until("half a line", func() bool {
+		n := 0
+		for _, oc := range sv.owners {
+			if oc.part > 0 {
+				n++
+			}
+		}
+		return n == 2
+	})
+	sv.on(func() {
+		for _, oc := range sv.owners {
+			oc.opened, oc.last = oc.opened-10, oc.last-10 // silent for long, and then half a line
+		}
+		sv.sweepOwners()
+	})
+	io.WriteString(slow, text[40:])
+	slow.want(`"running"`)
+	if line, err := half.r.ReadString('\n'); err != io.EOF {
+		t.Fatalf("%q, %v", line, err)
+	}
+}
+
+// TestNothingIsToldOnAClosingConnection: the end of a task that comes while its owner's connection is being closed goes to the next one.
+func TestNothingIsToldOnAClosingConnection(t *testing.T) {
+	conns := make(chan net.Conn, 1)
+	n := machine(t, func(c net.Conn, line string) {
+		if strings.Contains(line, `"launch"`) {
+			accepts(c, line)
+			conns <- c
+		}
+	})
+	sv := serve(t, 256, n.addr)
+	a := sv.owner()
+	io.WriteString(a, launch(1, "query", `"x"`))
+	a.want(`"running"`)
+	io.WriteString(a, "noise\n") // ends the connection, which lingers for its owner to close it too
+	sv.until("closing", func() bool { return sv.stats.BadOwners["unreadable"] > 0 })
+	io.WriteString(<-conns, stop(1, 16))
+	sv.until("end", func() bool { return sv.c.Standing() == 0 })
+	b := sv.owner()
+	io.WriteString(b, test)
+	b.want(`"stop"`, "0000000000000001", `"reason":16`)
+	sv.on(func() {
+		if sv.c.Counts.Retold > 0 {
+			t.Error("told on the closing connection first")
+		}
+	})
+}
+
 // TestReleaseOnAConnectionThatIsClosing: a release sent at the moment at which its owner closes the connection goes out once more, on the next.
 func TestReleaseOnAConnectionThatIsClosing(t *testing.T) {
 	conns := make(chan net.Conn, 1)
@@ -226,3 +303,51 @@
 	}
 	o.want(`"running"`, "0000000000000001")
 }
+
+// TestTheLastWayToOwnersIsKept: a connection that named a task as standing, or on which all was refused, is not closed as a stranger's while it
+// is the only one: the end of a task that stands goes out on it at once.
+func TestTheLastWayToOwnersIsKept(t *testing.T) {
+	conns := make(chan net.Conn, 1)
+	n := machine(t, func(c net.Conn, line string) {
+		if strings.Contains(line, `"launch"`) {
+			accepts(c, line)
+			conns <- c
+		}
+	})
+	sv := serve(t, 256, n.addr)
+	a, b, named := sv.owner(), sv.owner(), sv.owner()
+	io.WriteString(a, launch(1, "query", `"x"`))
+	a.want(`"running"`)
+	io.WriteString(b, test)
+	b.want(`"checked"`)
+	io.WriteString(named, strings.Replace(launch(2, "query", `"x"`), "service:", "at:s-00000001;service:", 1))
+	c := wait(t, "task", conns)
+	sv.until("three owners and two tasks", func() bool { return len(sv.owners) == 3 && sv.c.Standing() == 2 })
+	sweep := func() {
+		sv.on(func() {
+			for _, oc := range sv.owners {
+				oc.opened, oc.last = oc.opened-10, oc.last-10
+			}
+			sv.sweepOwners()
+		})
+	}
+	sweep()
+	if line, err := b.r.ReadString('\n'); err != io.EOF { // not the only one: nothing came to stand on it
+		t.Fatalf("%q, %v", line, err)
+	}
+	b.Close()
+	a.Close()
+	sv.until("one owner", func() bool { return len(sv.owners) == 1 })
+	sweep()
+	io.WriteString(c, stop(1, 16))
+	named.want(`"stop"`, "0000000000000001")
+
+	d := sv.owner()
+	io.WriteString(d, test)
+	d.want(`"checked"`)
+	named.Close()
+	sv.until("one owner", func() bool { return len(sv.owners) == 1 })
+	sweep()
+	io.WriteString(c, stop(2, 16))
+	d.want(`"stop"`, "0000000000000002")
+}
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -63,12 +63,18 @@
 		}
 		return true, nil
 	})
+	switch {
+	case n == len(b):
+		oc.part = 0
+	case n > 0 || oc.part == 0:
+		oc.part = s.l.Now()
+	}
 	s.pump()
 	if err != nil && !lc.Closed() {
 		// What cannot be read cannot be answered either, and what follows it means nothing.
 		s.stats.BadOwners[kind(err)]++
 		s.warn("owner's connection ended", lc.Peer(), err)
-		lc.CloseAfterFlush()
+		oc.end()
 		return len(b)
 	}
 	return min(n, len(b))
@@ -84,6 +90,17 @@
 	s.pump()
 }
 
+// end closes the connection once what was written has gone out. From now on it is nobody's: what the core would tell on it would be lost.
+func (oc *ownerConn) end() {
+	if oc.ended {
+		return
+	}
+	oc.ended = true
+	oc.s.c.OwnerClosed(oc.s.l.Now(), oc.id)
+	oc.s.pump()
+	oc.lc.CloseAfterFlush()
+}
+
 var errUnread = errors.New("does not read what it is sent")
 
 func (oc *ownerConn) write(m *jsonl.Message) {
@@ -97,28 +114,49 @@
 	oc.lc.SetOut(out)
 }
 
-// sweepOwners closes connections that have nothing under way and never had.
+// idle says whether a connection has nothing under way and never had. The last way to owners of tasks that stand is kept: an owner who finds
+// its connection closed need not open another before it asks for something new, and is owed the end of its task within a second.
+func (oc *ownerConn) idle(now float64) bool {
+	open, good := oc.s.c.OwnerOpen(oc.id)
+	return !oc.ended && open == 0 && !good && now-oc.last > strangerFor && !(oc.part > 0 && now-oc.part < partFor) &&
+		!oc.s.c.OwnerNeeded(oc.id)
+}
+
+// sweepOwners closes connections that have nothing under way and never had. A request that the system has received by now is looked for
+// first: it would be lost with the connection.
 func (s *Server) sweepOwners() {
 	now := s.l.Now()
 	for _, oc := range s.owners {
-		if open, good := s.c.OwnerOpen(oc.id); open == 0 && !good && now-oc.last > strangerFor {
+		if !oc.idle(now) {
+			continue
+		}
+		if oc.lc.ReadNow(); oc.idle(now) && !oc.lc.Closed() && !oc.lc.Paused() {
 			s.stats.Strangers++
-			oc.lc.CloseAfterFlush()
+			oc.end()
 		}
 	}
 }
 
-// makeRoom closes the connection that is missed least.
+// makeRoom closes the connection that is missed least, if nothing has come on it by now.
 func (s *Server) makeRoom() {
 	now := s.l.Now()
 	s.guests, s.guestOf = s.guests[:0], s.guestOf[:0]
 	for _, oc := range s.owners {
+		if oc.ended {
+			continue // its seat is about to be free; it is not missed at all, but what it is owed may be on its way
+		}
 		open, good := s.c.OwnerOpen(oc.id)
-		s.guests = append(s.guests, budget.Guest{Busy: open > 0 || oc.opened == now, Known: good, Idle: now - oc.last})
+		s.guests = append(s.guests, budget.Guest{Busy: open > 0 || oc.opened == now, Known: good, Idle: now - max(oc.last, oc.part)})
 		s.guestOf = append(s.guestOf, oc)
 	}
-	if i := budget.Missed(s.guests); i >= 0 {
-		s.stats.Crowded++
-		s.guestOf[i].lc.Close()
+	for i := budget.Missed(s.guests); i >= 0; i = budget.Missed(s.guests) {
+		oc := s.guestOf[i]
+		oc.lc.ReadNow()
+		if open, _ := s.c.OwnerOpen(oc.id); open == 0 && !oc.lc.Paused() {
+			s.stats.Crowded++
+			oc.lc.Close()
+			return
+		}
+		s.guests[i].Busy = true
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -23,6 +23,7 @@
 // Times in seconds.
 const (
 	strangerFor   = 2.0  // a connection that has nothing under way and never had is closed after this; the platform allows 3
+	partFor       = 0.7  // and one on which a message has come in part, no sooner than this after it began
 	acceptAfter   = 0.85 // after the signal to stop, connections and set-ups come for 0.7 s at most
 	housekeeping  = 0.1
 	reportEvery   = 10.0
