The end serves the backlog and half requests, and destroys no answers

At fault: ending() closed the listener with connections in its backlog, which are then reset with the set-ups sent on them; it ended with half a request read; the process ended with bytes unread, which turns the close of each such connection into a reset. Change: the listener is emptied first; half a request is waited for as long as the platform leaves time; at the very end connections are closed for writing and read until their owners close too, half a second at most. Result: three tests on sockets, each seen to fail without its part.

--- a/internal/platform/order_test.go
+++ b/internal/platform/order_test.go
@@ -140,6 +140,76 @@
 	n.nothing(t, sv.owner())
 }
 
+// TestBacklogAtTheEndIsServed: owners whose connections were taken in by the system, with their set-ups, before the listener closes get their
+// answers.
+func TestBacklogAtTheEndIsServed(t *testing.T) {
+	sv := serve(t, 2000, machine(t, accepts).addr)
+	var all []*client
+	sv.hold(func() {
+		for i := range 150 { // more than are accepted in a turn
+			c := sv.owner()
+			io.WriteString(c, launch(i+1, "query", `"x"`))
+			all = append(all, c)
+		}
+	}, func() {
+		sv.stopping, sv.stopAt = true, sv.l.Now()-1
+		sv.ending()
+	})
+	for i, c := range all {
+		c.want(fmt.Sprintf("%016x", i+1)) // many are refused, since there is one machine
+	}
+}
+
+// TestHalfARequestAtTheEnd: a set-up of which a part had come when the scheduler was told to stop is answered once its rest comes.
+func TestHalfARequestAtTheEnd(t *testing.T) {
+	sv := serve(t, 256, machine(t, accepts).addr)
+	c := sv.owner()
+	text := launch(1, "query", `"x"`)
+	io.WriteString(c, text[:40])
+	sv.until("half a line", func() bool {
+		for _, oc := range sv.owners {
+			return oc.part > 0
+		}
+		return false
+	})
+	sv.on(func() {
+		sv.stopping, sv.stopAt = true, sv.l.Now()-1
+		sv.ending()
+	})
+	io.WriteString(c, text[40:])
+	c.want(`"running"`)
+}
+
+// TestEndDestroysNoAnswer: bytes of an owner that come at the very end would have the end of the process reset its connection, and destroy the
+// answers that it has not read yet.
+func TestEndDestroysNoAnswer(t *testing.T) {
+	n := machine(t, func(c net.Conn, line string) {
+		if strings.Contains(line, `"launch"`) {
+			fmt.Fprintf(c, `{"kind":"stop","uid":%q,"reason":47}`+"\n", uid(line))
+		}
+	})
+	sv := serve(t, 256, n.addr)
+	c := sv.owner()
+	io.WriteString(c, launch(1, "seats", `"x"`))
+	sv.until("answer", func() bool { return sv.c.Counts.Failed+sv.c.Counts.Refused == 1 })
+	decided, sent := make(chan struct{}), make(chan struct{})
+	sv.l.Post(func() {
+		sv.stopping, sv.stopAt = true, sv.l.Now()-1
+		sv.ending()
+		close(decided) // to end, with nothing unread
+		<-sent
+	})
+	wait(t, "end", decided)
+	io.WriteString(c, `{"kind":"stopped","uid":"0000000000000001","meta":{}}`+"\n")
+	close(sent)
+	c.want(`"stop"`, "0000000000000001")
+	if line, err := c.r.ReadString('\n'); err != io.EOF {
+		t.Fatalf("%q, %v", line, err)
+	}
+	c.Close()
+	wait(t, "end", sv.ended)
+}
+
 // TestLookBeforeClosing: a set-up that the system has received on a connection about to be closed, as a stranger's or for its seat, is served.
 func TestLookBeforeClosing(t *testing.T) {
 	for name, closing := range map[string]func(sv *service){
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -25,6 +25,8 @@
 	strangerFor   = 2.0  // a connection that has nothing under way and never had is closed after this; the platform allows 3
 	partFor       = 0.7  // and one on which a message has come in part, no sooner than this after it began
 	acceptAfter   = 0.85 // after the signal to stop, connections and set-ups come for 0.7 s at most
+	partingFor    = 0.5  // for owners to close their side of connections at the end
+	partingLeast  = 0.1  // of that, when there is hardly time left; the reserve of stayFor covers it
 	housekeeping  = 0.1
 	reportEvery   = 10.0
 	leastSockets  = 64
@@ -137,17 +139,34 @@
 // ending closes the listener, and ends the program once nothing that was taken is open. While tasks stand it stays as long as the platform
 // leaves it running, to tell their owners how they end: what ends with no scheduler there is told late or never.
 func (s *Server) ending() {
-	s.ln.Close()
-	now := s.l.Now()
-	unsent := false
+	if !s.ln.Closed() {
+		s.ln.Drain()
+		s.ln.Close()
+	}
+	unread := false // a request that has come in part, or that the system has and we have not
 	for _, oc := range s.owners {
-		unsent = unsent || oc.lc.Buffered() > 0
+		oc.lc.ReadNow()
+		unread = unread || oc.part > 0 || oc.lc.Paused()
 	}
-	waits := s.c.Open() > 0 || s.c.Standing() > 0 && len(s.owners) > 0 && now < s.stopAt+s.stayFor()
-	if waits || unsent && now < s.stopAt+s.stayFor()+1 {
+	inTime := s.l.Now() < s.stopAt+s.stayFor()
+	if s.c.Open() > 0 || inTime && (unread || s.c.Standing() > 0 && len(s.owners) > 0) {
 		s.l.After(0.01, s.ending)
 		return
 	}
+	for _, oc := range s.owners {
+		oc.end()
+	}
+	now := s.l.Now()
+	s.leave(max(now+partingLeast, min(now+partingFor, s.stopAt+s.stayFor()+partingLeast)))
+}
+
+// leave ends the program when the owners have closed their connections too. With a byte unread, the end of the process would turn each into
+// a reset, which destroys the answers that its owner has not read yet.
+func (s *Server) leave(last float64) {
+	if len(s.owners) > 0 && s.l.Now() < last {
+		s.l.After(0.01, func() { s.leave(last) })
+		return
+	}
 	s.report()
 	s.log.Info().Msg("stopped")
 	s.done()
