Test: idle clients fill every descriptor while the bulletin is down

Need: the watch, a connection to a machine, an owner and the file of a reload must still find a descriptor. Nothing was wrong: the process, its limit set to the 64 of its configuration, serves all four.

--- a/cmd/heathshed/platform_test.go
+++ b/cmd/heathshed/platform_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // TestMain lets a test start this binary as the program itself.
@@ -157,3 +159,76 @@
 	}
 	t.Logf("resident at the start %d KB, processor time over its life %v", kb, cpu)
 }
+
+// TestDescriptorsAreLeft: idle clients fill every descriptor that owners may have while the bulletin is down. Once it is back, the watch, a
+// connection to a machine, an owner and the file of a reload still find one. The limit of the process is the configuration's.
+func TestDescriptorsAreLeft(t *testing.T) {
+	const sockets = 64
+	ln, bulletin := free(t)
+	ln.Close() // down
+	moved, second := free(t)
+	node, machine := free(t)
+	cmd, log, path := program(t, strings.Replace(platformText("127.0.0.1:0", bulletin), `"sockets":256`, fmt.Sprintf(`"sockets":%d`, sockets), 1))
+	lim := unix.Rlimit{Cur: sockets, Max: sockets}
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &lim, nil); err != nil {
+		t.Fatal(err)
+	}
+	addr := ""
+	for log.Scan() {
+		if _, rest, found := strings.Cut(log.Text(), `"listen":"`); found {
+			addr, _, _ = strings.Cut(rest, `"`)
+			break
+		}
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		return c
+	}
+	idle := func() {
+		for range 3 * sockets {
+			dial()
+		}
+	}
+	idle()
+	ln, err := net.Listen("tcp", bulletin) // back
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	watch := func(ln net.Listener, text string) {
+		ln.(*net.TCPListener).SetDeadline(time.Now().Add(20 * time.Second))
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if line, err := bufio.NewReader(c).ReadString('\n'); err != nil || !strings.HasPrefix(line, "GET /bulletins ") {
+			t.Fatalf("%q, %v", line, err)
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", text)
+	}
+	watch(ln, fmt.Sprintf("id: 1\ndata: "+`{"no":1,"roster":{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":%q,"az":"a","model":"std","pod_group":1,"state":"in_service","boot_ms":0,"open":[8,16]}]}}`+"\n\n", machine))
+	idle()
+	o := dial()
+	fmt.Fprintln(o, `{"kind":"launch","uid":"0000000000000007","meta":{"class":"query","left":"4000","key":"0000000000000007","extras":"cores:1;memory:1;service:0000000000000005"},"body":"x"}`)
+	go func() {
+		if c, err := node.Accept(); err == nil {
+			bufio.NewReader(c).ReadString('\n')
+			fmt.Fprintln(c, `{"kind":"running","uid":"0000000000000007","body":"y"}`)
+		}
+	}()
+	if line, err := bufio.NewReader(o).ReadString('\n'); err != nil || !strings.Contains(line, `"running"`) {
+		t.Fatalf("%q, %v", line, err)
+	}
+	idle()
+	if err := os.WriteFile(path, []byte(platformText("127.0.0.1:0", second)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP)
+	watch(moved, "")
+}
