The key by which machines know copies of a task goes on to them

At fault: toNode, which passed on class and key alone. TestWholePath sends such a field and fails without the change.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -594,11 +594,14 @@
 	return x, at, nil
 }
 
-// toNode is the set-up as a machine gets it: id, class, key and description as they came.
+// toNode is the set-up as a machine gets it: id, class, key, description, and the key by which copies are known, as they came.
 func (t *task) toNode() jsonl.Message {
 	m := jsonl.Message{Kind: jsonl.Launch, UID: t.m.UID, ID: t.m.ID, Body: t.m.Body}
 	m.Set(jsonl.Class, t.m.Get(jsonl.Class))
 	m.Set(jsonl.Key, t.m.Get(jsonl.Key))
+	if t.m.Has(jsonl.Idem) {
+		m.Set(jsonl.Idem, t.m.Get(jsonl.Idem))
+	}
 	return m
 }
 
--- a/internal/jsonl/jsonl.go
+++ b/internal/jsonl/jsonl.go
@@ -83,6 +83,7 @@
 	Left
 	Tenant
 	Key
+	Idem // of a class that machines deduplicate: the name under which they know a copy
 	Extras
 	Wait
 	Note
@@ -91,7 +92,7 @@
 	fields
 )
 
-var fieldNames = [fields]string{"class", "left", "tenant", "key", "extras", "wait", "note", "value", "load"}
+var fieldNames = [fields]string{"class", "left", "tenant", "key", "idem", "extras", "wait", "note", "value", "load"}
 
 func (f Field) String() string { return fieldNames[f] }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -252,13 +252,14 @@
 	o.want(`"checked"`, `"0000000000000001"`, `"reason":1`)
 	body := `"9d\u0034\r\nc=IN \/"`
 	text := launch(7, "seats", body)
+	text = strings.Replace(text, `"left":`, `"idem":"e45e5817dae4","left":`, 1) // machines deduplicate by it
 	for _, piece := range []string{text[:10], text[10:50], text[50:]} {
 		io.WriteString(o, piece)
 	}
 	o.want(`"running"`, `"0000000000000007"`, `"body":`+described)
 	got := wait(t, "launch", n.got)
 	if !strings.Contains(got, `"body":`+body) || !strings.Contains(got, `"class":"seats"`) || !strings.Contains(got, `"key":"0000000000000007"`) ||
-		!strings.Contains(got, `"left":"`) {
+		!strings.Contains(got, `"left":"`) || !strings.Contains(got, `"idem":"e45e5817dae4"`) {
 		t.Fatalf("the machine got %s", got)
 	}
 	io.WriteString(o, `{"kind":"stop","uid":"0000000000000007","meta":{},"reason":31}`+"\n")
