Waits before a new try are drawn from the configuration's seed

Need: schedulers that are started together, or lose discovery together, must not try again in step, and a run is to be the same for the same seed. The waits were drawn from the runtime's own numbers: spread, but not repeatable. Change: one source per scheduler, from the seed, for the bulletin and for connections to machines.

--- a/internal/platform/bulletin.go
+++ b/internal/platform/bulletin.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"strconv"
 
 	"heathshed/internal/backoff"
@@ -139,5 +138,5 @@
 	s.c.Streaming(s.l.Now(), false)
 	s.pump()
 	b.again.Stop()
-	b.again = s.l.After(b.retry.Next(rand.Float64()), b.open)
+	b.again = s.l.After(b.retry.Next(s.rng.Float64()), b.open)
 }
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"slices"
 
 	"golang.org/x/sys/unix"
@@ -141,7 +140,7 @@
 func (k *link) failed(err error) {
 	s := k.s
 	s.stats.DialsFailed++
-	k.retryAt = s.l.Now() + k.retry.Next(rand.Float64())
+	k.retryAt = s.l.Now() + k.retry.Next(s.rng.Float64())
 	if err != errNoSeat { // that says nothing of the machine
 		k.reach.Failed(s.l.Now(), errors.Is(err, unix.ECONNREFUSED))
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 
 	"github.com/rs/zerolog"
 
@@ -41,6 +42,7 @@
 	l    *loop.Loop
 	c    *dispatch.Core
 	cfg  *Config
+	rng  *rand.Rand // of the configuration's seed, so that schedulers started at one moment do not try again in step
 	log  zerolog.Logger
 	ln   *loop.Listener
 	due  *loop.Timer
@@ -93,6 +95,7 @@
 	}
 	s := &Server{l: l, c: core, cfg: cfg, log: log, done: done, owners: map[dispatch.ConnID]*ownerConn{},
 		links: map[placer.NodeID]*link{}, stats: Stats{BadOwners: map[string]uint64{}, BadMachines: map[string]uint64{}}}
+	s.rng = rand.New(rand.NewPCG(cfg.Seed, 0x6a09e667f3bcc908))
 	s.reach = connpool.Reach{Silent: silentFor, Refused: refusedFor}
 	s.shared = connpool.DefaultShared()
 	s.shared.MaxIdle = cfg.Settings.ConnIdle * 0.6 // well before the machine closes it: an offer must not cross that
