Test: an address that is let go and taken again is one that nobody else takes

A port that the system chose on 127.0.0.1 may go to another test between its close and its second use; the test of descriptors uses an address of its own now.

--- a/cmd/heathshed/platform_test.go
+++ b/cmd/heathshed/platform_test.go
@@ -164,7 +164,11 @@
 // connection to a machine, an owner and the file of a reload still find one. The limit of the process is the configuration's.
 func TestDescriptorsAreLeft(t *testing.T) {
 	const sockets = 64
-	ln, bulletin := free(t)
+	ln, err := net.Listen("tcp", "127.0.0.78:0") // where nobody else takes the port meanwhile
+	if err != nil {
+		t.Fatal(err)
+	}
+	bulletin := ln.Addr().String()
 	ln.Close() // down
 	moved, second := free(t)
 	node, machine := free(t)
@@ -195,8 +199,7 @@
 		}
 	}
 	idle()
-	ln, err := net.Listen("tcp", bulletin) // back
-	if err != nil {
+	if ln, err = net.Listen("tcp", bulletin); err != nil { // back
 		t.Fatal(err)
 	}
 	defer ln.Close()
