What is open at a machine that one list leaves out is not given up at once

Found by reading, forced by tests: a whole list in the middle of the numbers may lack a machine that the next one has again. keep() closed its connections at the next tenth of a second, which gave up the attempts open there; for a task that must not start twice that is a failure. And an answer that came behind the list's word let a task stand at a machine that is neither dialled nor ever taken for lost: its end was told to nobody. At fault: keep(), which asked only for the state; accepted(), which did not look at it. Change: connections are kept for the second after which the machine's tasks are taken for lost; a task that comes to stand later ends with them.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -25,7 +25,6 @@
 	owedFor     = 8.0  // a release that found no connection of an owner is owed for so long
 	forgetAfter = 60.0 // a machine that has been gone for so long is unknown
 	movedWord   = 0.4  // a machine confirms the end of a task that was moved within this, or did not hear of it as a move
-	goneGrace   = 1.0  // after the bulletin's word that a machine has gone its tasks are taken for lost
 	bootSlack   = 1.0  // clocks and lists are rough: a task bound this near a machine's start is of its new life
 	unreadFor   = 1.0  // a release is taken for unread if its connection ends within this and its owner does not say what it hears
 	handover    = 1.0  // after the first test, tasks that stand already are named by the hundred
@@ -33,6 +32,9 @@
 	lateFor     = 5.0  // beyond the time that owners look for a task, an attempt given up is remembered
 )
 
+// GoneGrace is how long after the bulletin's word that a machine has gone its tasks are taken for lost, in seconds.
+const GoneGrace = 1.0
+
 const (
 	causeLost = jsonl.CauseReset
 	maxEnds   = maxTasks // ends of unknown tasks remembered
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -625,7 +625,7 @@
 			t.Fatal(err)
 		}
 		w.pump()
-		w.advance(goneGrace + 0.01)
+		w.advance(GoneGrace + 0.01)
 		if h.releases != 1 || s.last().Result != placer.Lost {
 			t.Errorf("%s: %+v, last event %+v", name, h, s.last())
 		}
--- a/internal/dispatch/offers.go
+++ b/internal/dispatch/offers.go
@@ -187,6 +187,9 @@
 		}
 		if n := c.nodes[o.Node]; n != nil {
 			n.standing[o] = struct{}{}
+			if n.State == placer.Gone {
+				c.goneSoon(n) // the list's word was first; no second one will come to end this task
+			}
 		}
 		a := reply(&t.m, jsonl.Running, -1)
 		a.Body = m.Body
@@ -327,7 +330,7 @@
 		return // is looked after
 	}
 	n.lostAt = at
-	c.timers.Add(max(c.now, at+goneGrace), func() {
+	c.timers.Add(max(c.now, at+GoneGrace), func() {
 		n.lostAt = 0
 		if n.State == placer.Gone && n.toldAt == at {
 			c.NodeLost(c.now, n.ID)
@@ -341,7 +344,7 @@
 		return
 	}
 	n.leaving = true
-	c.timers.Add(max(n.toldAt+forgetAfter, c.now+goneGrace), func() {
+	c.timers.Add(max(n.toldAt+forgetAfter, c.now+GoneGrace), func() {
 		n.leaving = false
 		switch {
 		case n.State != placer.Gone:
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -55,6 +55,14 @@
 // Standing is the number of tasks that stand at the machine.
 func (n *Node) Standing() int { return len(n.standing) }
 
+// GoneFor is how long ago the bulletin said that the machine has gone, in seconds; 0 if it has not.
+func (n *Node) GoneFor(now float64) float64 {
+	if n.State != placer.Gone {
+		return 0
+	}
+	return now - n.toldAt
+}
+
 // NodeNumber is the module's number for a machine: the same at every scheduler, since all of them sort and draw by it. It has 48 bits, as
 // many as an address on the simulator's wire.
 func NodeNumber(uid string) placer.NodeID {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -223,7 +223,8 @@
 	now := s.l.Now()
 	n := s.c.Node(k.id)
 	holds := n != nil && n.Standing() > 0
-	if !holds && (n == nil || n.State == placer.Gone) {
+	// A list may leave a machine out that the next one has again: what is open there is not given up for that.
+	if !holds && (n == nil || n.GoneFor(now) > dispatch.GoneGrace) {
 		k.closeAll()
 		delete(s.links, k.id)
 		return
