Test: thirty schedulers over one cold machine, half of them started anew

Need: the ramp holds for the fleet, also with uneven traffic and restarts, and where offers wait for their first connection.

--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -1035,6 +1036,79 @@
 	}
 }
 
+// Thirty schedulers over one cold machine, half of the traffic at two of them, half of them started anew in between and remembering nothing.
+// What leaves within a window is what the machine always bears; where an offer waits for its connection for up to the time that one may
+// take, what arrives within a window is that and what chance may add to it.
+func TestThirtySchedulersOverOneColdMachine(t *testing.T) {
+	for _, always := range []float64{4, 12, 42, 100} {
+		for _, dials := range []bool{false, true} {
+			c := config()
+			c.Peers, c.ColdAlways, c.WarmWithin, c.FallWindow, c.ServicesStay, c.BookCores, c.BookMemory = 30, always, 30, 1, false, 99, 99
+			nodes := fleet(1)
+			nodes[0].Since = 99
+			r := rand.New(rand.NewPCG(7, 7))
+			var arrivals []float64
+			peers := make([]*Placer, c.Peers)
+			connected := make([]float64, c.Peers) // when the connection of each came up
+			fresh := func(now float64, self, life int) {
+				c.Self = self
+				p, err := New(c, uint64(self+100*life))
+				if err != nil {
+					t.Fatal(err)
+				}
+				p.Handle(now, Event{Kind: Listed, List: CachedList, Nodes: nodes}, nil)
+				peers[self], connected[self] = p, 0
+			}
+			for self := range peers {
+				fresh(99, self, 1) // before the machine has started
+			}
+			id := 0
+			for step := range 800 {
+				now := 100 + float64(step)/50
+				if step == 300 {
+					for self := 0; self < c.Peers; self += 2 {
+						fresh(now, self, 2)
+					}
+				}
+				for self, p := range peers {
+					if self >= 2 && r.IntN(28) > 1 {
+						continue
+					}
+					id++
+					k := task(id, 0)
+					k.Deadline = now + 1.1
+					for _, o := range only(arrive(p, now, k), Offer) {
+						if dials && connected[self] == 0 {
+							connected[self] = now + r.Float64()*c.ConnectWithin
+						}
+						at := max(now, connected[self])
+						arrivals = append(arrivals, at)
+						p.Handle(at, Event{Kind: Bound, ID: o.Task, Attempt: o.Attempt, Node: o.Node, Elapsed: at - now}, nil)
+					}
+				}
+			}
+			slices.Sort(arrivals)
+			most, first := 0, 0
+			for i, at := range arrivals {
+				for at-arrivals[first] > c.FallWindow {
+					first++
+				}
+				most = max(most, i-first+1)
+			}
+			bound := always
+			if dials {
+				bound += 2*math.Sqrt(always) + 2
+			}
+			if float64(most) > bound {
+				t.Errorf("%v always borne, dials %v: %d in a window, want at most %.0f", always, dials, most, bound)
+			}
+			if float64(len(arrivals)) < 16*always/4 {
+				t.Errorf("%v always borne, dials %v: %d in all: the budget lies idle", always, dials, len(arrivals))
+			}
+		}
+	}
+}
+
 // A scheduler that sees few tasks waits long for a report: until then notes on its own tasks tell what asks
 // come to, else it takes twice the machines for needed and keeps open what others close.
 func TestNotesTellUseUntilTheFirstReport(t *testing.T) {
