Property tests: whole lists in the middle, and tasks taken over in any order with their ends

Need: the core's property test has to cover departures, cancels, restarts, whole lists and second answers in any order. Departures, cancels and second answers were in it; whole lists that leave machines out are now, and a second test plays the naming of standing tasks after a start.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -270,6 +270,18 @@
 						w.conns = append(w.conns[:i], w.conns[i+1:]...)
 						w.pump()
 					}
+				case 2: // a whole list in the middle of the numbers, which may leave machines out
+					w.no++
+					var all []string
+					for i := range 5 {
+						if some(3, "listed") > 0 {
+							all = append(all, target(1+i, []string{"in_service", "terminating"}[some(2, "state")], 0))
+						}
+					}
+					if ok, err := w.c.Bulletin(w.now, []byte(roster(w.no, true, all...))); !ok || err != nil {
+						t.Fatal(ok, err)
+					}
+					w.pump()
 				default:
 					w.no++
 					ev := roster(w.no, false, target(1+some(5, "node"), []string{"in_service", "terminating", "terminated"}[some(3, "state")],
@@ -333,6 +345,75 @@
 	}
 }
 
+// TestTakingOver plays a start in which tasks that stand are named, in any order with their ends at their machines, lists, and connections of
+// owners that come and go: each end is told once, and nothing is left standing that has ended.
+func TestTakingOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, nil)
+		some := func(n int, what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
+		node := func(id int) placer.NodeID { return NodeNumber(fmt.Sprintf("s-%08x", 1+id%3)) }
+		conn := w.open()
+		const tasks = 12
+		named, over := map[int]bool{}, map[int]bool{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			id := 1 + some(tasks, "id")
+			switch some(6, "step") {
+			case 0, 1:
+				if named[id] && w.setUps[jsonl.ID(id)].conn != conn { // named again elsewhere
+					w.setUps[jsonl.ID(id)].conn = conn
+				}
+				h := w.setUps[jsonl.ID(id)]
+				if h == nil {
+					h = &heard{conn: conn, at: true, standing: true}
+					w.setUps[jsonl.ID(id)] = h
+				}
+				if h.releases > 0 {
+					continue // its owner knows
+				}
+				m := w.setUpMessage(jsonl.ID(id))
+				m.Set(jsonl.Extras, fmt.Sprintf("cores:1;memory:1;at:s-%08x", 1+id%3))
+				m.Set(jsonl.Left, "4294967")
+				if err := w.c.FromOwner(w.now, conn, &m); err != nil {
+					t.Fatal(err)
+				}
+				named[id] = true
+				w.pump()
+			case 2, 3:
+				over[id] = true
+				m := message(jsonl.Stop, jsonl.ID(id), []int{16, 41}[some(2, "cause")])
+				w.c.FromNode(w.now, node(id), &m)
+				w.pump()
+			case 4:
+				w.c.OwnerClosed(w.now, conn)
+				w.pump()
+				conn = w.open()
+				hello := message(jsonl.Check, 1<<60, 0)
+				w.setUps[hello.ID] = &heard{standing: true}
+				if err := w.c.FromOwner(w.now, conn, &hello); err != nil {
+					t.Fatal(err)
+				}
+				w.pump()
+			default:
+				w.advance(float64(some(300, "ms")) / 1000)
+			}
+		}
+		for id := range named {
+			if h := w.setUps[jsonl.ID(id)]; over[id] && h.releases == 0 {
+				t.Fatalf("task %d ended and was named, and its owner was told nothing", id)
+			}
+		}
+		for id := 1; id <= tasks; id++ {
+			m := message(jsonl.Stop, jsonl.ID(id), jsonl.CauseEnd)
+			w.c.FromNode(w.now, node(id), &m)
+		}
+		w.pump()
+		w.settle()
+		if len(w.c.ends) != 0 || len(w.c.endsBy) != 0 {
+			t.Fatalf("%d ends are still remembered", len(w.c.ends))
+		}
+	})
+}
+
 // script is a module that offers each task to machine 1 and does nothing else of its own accord.
 type script struct {
 	to     placer.NodeID
