What ran at a silent machine counts as there until the machine has ended it

Ruled out: attempts given up on connections that were cut off, which all had fewer than two others beside them; tasks named after a start. At fault: NodeLost, which told the module that they had ended, while the machine, only cut off, ran on with them; and keep(), which dropped what was owed to the machine, so that it was never told to end them. Change: silence is told from refusals. Tests in the core, and on sockets with a machine that falls silent and comes back.

--- a/internal/connpool/shared.go
+++ b/internal/connpool/shared.go
@@ -58,8 +58,8 @@
 // Reach judges from connections and dials whether a machine that holds tasks is still there. A machine that has vanished or is cut off gives
 // no sign: open connections stay silent and new ones never come up. One whose process has ended refuses.
 type Reach struct {
-	Silent  float64 // seconds without any word, dials failing, after which it is taken for lost
-	Refused float64 // and seconds of refusals
+	SilentFor  float64 // seconds without any word, dials failing, after which it is taken for lost
+	RefusedFor float64 // and seconds of refusals
 
 	word, refused float64
 	failed        bool // a dial, since the last word
@@ -82,7 +82,24 @@
 	}
 }
 
-// Lost says whether the machine is to be taken for lost. One that was not dialled has not been silent.
-func (r *Reach) Lost(now float64) bool {
-	return r.failed && now-r.word > r.Silent || r.refused > 0 && now-r.refused > r.Refused
+// Loss is how a machine is lost.
+type Loss uint8
+
+// The kinds of loss. An Ended machine refuses connections: its process has ended, with all that ran in it. A Silent one may be cut off and run
+// on.
+const (
+	Present Loss = iota
+	Ended
+	Silent
+)
+
+// Lost says whether the machine is to be taken for lost, and how. One that was not dialled has not been silent.
+func (r *Reach) Lost(now float64) Loss {
+	switch {
+	case r.refused > 0 && now-r.refused > r.RefusedFor:
+		return Ended
+	case r.failed && r.refused == 0 && now-r.word > r.SilentFor:
+		return Silent
+	}
+	return Present
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -671,6 +671,45 @@
 	}
 }
 
+// TestSilentMachine: what stood at a machine that says nothing is over for its owner at once, and for the module once the machine has said so, or
+// nothing can be owed any more.
+func TestSilentMachine(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause int
+		as    placer.Result
+	}{"says that it ended it": {jsonl.CauseCancelled, placer.Cancelled}, "says that it had ended": {jsonl.CauseEnd, placer.Finished},
+		"never says anything": {-1, placer.Cancelled}} {
+		w, s, o := standing(t, "seats")
+		accept(w, o)
+		h := w.setUps[o.Message.ID]
+		events := len(s.events)
+		if n := w.c.NodeSilent(w.now, o.Node); n != 1 {
+			t.Fatalf("%s: %d tasks", name, n)
+		}
+		cut := false
+		out := w.c.Ready()
+		for _, e := range out {
+			cut = cut || e.Kind == Release && e.Message.Kind == jsonl.Stop
+		}
+		w.c.out = out
+		w.pump()
+		if h.releases != 1 || !cut || len(s.events) != events || w.c.Standing() != 1 {
+			t.Errorf("%s: %+v, machine told %v, %d events, %d standing", name, h, cut, len(s.events)-events, w.c.Standing())
+		}
+		if n := w.c.NodeSilent(w.now, o.Node); n != 0 {
+			t.Errorf("%s: %d tasks at the second time", name, n)
+		}
+		if c.cause >= 0 {
+			w.node(o, message(jsonl.Stop, o.Message.ID, c.cause))
+		} else {
+			w.advance(owedFor + 0.01)
+		}
+		if h.releases != 1 || s.last().Kind != placer.Ended || s.last().Result != c.as || w.c.Standing() != 0 {
+			t.Errorf("%s: %+v, last event %+v", name, h, s.last())
+		}
+	}
+}
+
 func TestTasksHeldAlready(t *testing.T) {
 	w := newWorld(t, nil)
 	conn := w.open()
--- a/internal/dispatch/offers.go
+++ b/internal/dispatch/offers.go
@@ -356,18 +356,37 @@
 	})
 }
 
-// NodeLost ends all that stands at a machine.
+// NodeLost ends all that stands at a machine whose process has ended, or that has gone.
 func (c *Core) NodeLost(now float64, id placer.NodeID) {
 	c.tick(now)
 	if n := c.nodes[id]; n != nil {
-		all := make([]*Offer, 0, len(n.standing))
-		for o := range n.standing {
-			all = append(all, o)
-		}
-		slices.SortFunc(all, func(a, b *Offer) int { return int(a.t.id) - int(b.t.id) })
-		for _, o := range all {
+		for _, o := range n.tasks() {
 			c.end(o, placer.Lost, placer.NoReason, nil, causeLost)
 		}
 	}
 	c.run()
 }
+
+// NodeSilent gives up all that stands at a machine that says nothing, and returns how much that is. Owners are told at once. But the tasks may
+// well run on, if the machine is only cut off: it is told to end them as soon as it can be reached, and the module has them there until it
+// says that it did, or for as long as a release is owed. Else it would count a service's room as free that a machine about to come back has in
+// use, and break the limit on how many of a service run in one place.
+func (c *Core) NodeSilent(now float64, id placer.NodeID) (tasks int) {
+	c.tick(now)
+	if n := c.nodes[id]; n != nil {
+		for _, o := range n.tasks() {
+			if o.ending {
+				continue
+			}
+			tasks++
+			c.Counts.Lost++
+			if !o.t.over {
+				o.t.over = true
+				c.toOwner(o.t, reply(&o.t.m, jsonl.Stop, causeLost))
+			}
+			c.release(o, jsonl.CauseCancelled, false)
+		}
+	}
+	c.run()
+	return tasks
+}
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -55,6 +55,16 @@
 // Standing is the number of tasks that stand at the machine.
 func (n *Node) Standing() int { return len(n.standing) }
 
+// tasks are those that stand at the machine, in order of their numbers.
+func (n *Node) tasks() []*Offer {
+	all := make([]*Offer, 0, len(n.standing))
+	for o := range n.standing {
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(a, b *Offer) int { return int(a.t.id) - int(b.t.id) })
+	return all
+}
+
 // GoneFor is how long ago the bulletin said that the machine has gone, in seconds; 0 if it has not.
 func (n *Node) GoneFor(now float64) float64 {
 	if n.State != placer.Gone {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -248,12 +248,19 @@
 	if !holds && len(k.owed) == 0 || len(k.conns) > 0 {
 		return
 	}
-	if holds && k.reach.Lost(now) {
+	switch loss := k.reach.Lost(now); {
+	case !holds || loss == connpool.Present:
+	case loss == connpool.Ended:
 		s.stats.MachinesLost++
-		s.log.Warn().Str("machine", n.UID).Int("tasks", n.Standing()).Msg("machine taken for lost")
+		s.log.Warn().Str("machine", n.UID).Int("tasks", n.Standing()).Msg("machine taken for lost: it refuses")
 		s.c.NodeLost(now, k.id)
 		k.owed = nil
 		return
+	default:
+		if tasks := s.c.NodeSilent(now, k.id); tasks > 0 {
+			s.stats.MachinesLost++
+			s.log.Warn().Str("machine", n.UID).Int("tasks", tasks).Msg("machine taken for lost: it is silent")
+		}
 	}
 	// One that has gone is not dialled: another machine may sit there by now, and its word would be taken for the gone one's.
 	if k.dialing == nil && now >= k.retryAt && n.State != placer.Gone {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -96,7 +96,7 @@
 	s := &Server{l: l, c: core, cfg: cfg, log: log, done: done, owners: map[dispatch.ConnID]*ownerConn{},
 		links: map[placer.NodeID]*link{}, stats: Stats{BadOwners: map[string]uint64{}, BadMachines: map[string]uint64{}}}
 	s.rng = rand.New(rand.NewPCG(cfg.Seed, 0x6a09e667f3bcc908))
-	s.reach = connpool.Reach{Silent: silentFor, Refused: refusedFor}
+	s.reach = connpool.Reach{SilentFor: silentFor, RefusedFor: refusedFor}
 	s.shared = connpool.DefaultShared()
 	s.shared.MaxIdle = cfg.Settings.ConnIdle * 0.6 // well before the machine closes it: an offer must not cross that
 	sockets := cfg.Sockets
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -286,6 +287,55 @@
 	})
 }
 
+// TestSilentMachineThatReturns: a machine that was taken for lost comes back with the task that it held, whose owner was told that it is over.
+// It is told to end the task, and until it has said so the task counts as running there.
+func TestSilentMachineThatReturns(t *testing.T) {
+	t.Parallel()
+	n := machine(t, func(c net.Conn, line string) {
+		if strings.Contains(line, `"launch"`) { // tests are not answered
+			accepts(c, line)
+		}
+	})
+	sv := serve(t, 256, n.addr)
+	sv.on(func() { sv.reach.SilentFor = 0.5 })
+	o := sv.owner()
+	io.WriteString(o, launch(1, "seats", `"x"`))
+	o.want(`"running"`)
+	wait(t, "launch", n.got)
+	_, port, _ := net.SplitHostPort(n.addr)
+	p, err := strconv.Atoi(port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.ln.Close()
+	_, end := silentUntil(t, p)
+	o.want(`"stop"`, `"reason":41`)
+	sv.on(func() {
+		if sv.c.Standing() != 1 {
+			t.Errorf("%d stand", sv.c.Standing())
+		}
+	})
+	end()
+	ln := listen(t, n.addr) // back
+	defer ln.Close()
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patient))
+	line, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil || !strings.Contains(line, `"stop"`) || uid(line) != "0000000000000001" {
+		t.Fatalf("%q, %v", line, err)
+	}
+	io.WriteString(c, stop(1, 31))
+	sv.until("end of the task", func() bool { return sv.c.Standing() == 0 })
+	io.WriteString(o, test)
+	if line := o.line(); !strings.Contains(line, `"checked"`) {
+		t.Errorf("the owner was told more: %s", line)
+	}
+}
+
 // TestDialThatNeverComesUp: neither its descriptor nor its queue stays, and its set-ups are answered.
 func TestDialThatNeverComesUp(t *testing.T) {
 	sv := serve(t, 256, silentPort(t, 0))
