Machines that hold tasks and have no connection are dialled in turn, longest without one first

In a trace of n0 (connections opened and closed, words of ends): its machine's word came at 24.282 s, and was told at once; there was no connection to that machine for over 8 s. n0 held tasks at 397 machines with seats for 230 ("node_conns":230,"links":397), and the dials of each turn went in the order of a map. Ruled out: nothing was written to an owner that had gone (the trace tells), the word was not Unheld. At fault: keep(), each link dialling for itself. Change: after the upkeep of all, those that want a connection are dialled in the order of when they lost theirs, as far as there are seats. TestMachinesTakeTurns fails with any other order.

--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 
@@ -41,8 +42,10 @@
 	owed    []byte            // releases for a machine that no connection reaches
 	retry   backoff.Backoff
 	retryAt float64
+	downAt  float64 // when its last connection ended; 0 if none was
 	reach   connpool.Reach
 	holds   bool
+	wanted  bool // a connection, by what the machine holds or is owed
 }
 
 // nodeConn is one connection to a machine.
@@ -115,7 +118,7 @@
 		return
 	}
 	s := k.s
-	if s.nodeConns >= s.maxNodes && !s.freeSeat() {
+	if !s.seat() {
 		s.l.After(0, func() { k.failed(errNoSeat) })
 		return
 	}
@@ -154,6 +157,30 @@
 
 var errNoSeat = errors.New("no descriptor is left for a connection to a machine")
 
+// seat says whether there is a descriptor for one more connection to a machine.
+func (s *Server) seat() bool { return s.nodeConns < s.maxNodes || s.freeSeat() }
+
+// reconnect dials the machines that hold tasks, or are owed something, and have no connection: those first that have been without one for
+// longest. Where there are more of them than seats they take turns, and each must come to its turn before the end of a task there is overdue.
+func (s *Server) reconnect() {
+	now := s.l.Now()
+	s.waiting = s.waiting[:0]
+	for _, k := range s.links {
+		if k.wanted && len(k.conns) == 0 && k.dialing == nil && now >= k.retryAt {
+			s.waiting = append(s.waiting, k)
+		}
+	}
+	slices.SortFunc(s.waiting, func(a, b *link) int {
+		return cmp.Or(cmp.Compare(a.downAt, b.downAt), cmp.Compare(a.id, b.id))
+	})
+	for _, k := range s.waiting {
+		if !s.seat() {
+			return
+		}
+		k.dial()
+	}
+}
+
 // freeSeat closes the connection to a machine that is missed least, and says whether there was one.
 func (s *Server) freeSeat() bool {
 	now := s.l.Now()
@@ -161,7 +188,7 @@
 	var conns []*nodeConn
 	for _, k := range s.links {
 		for _, c := range k.conns {
-			guests = append(guests, budget.Guest{Busy: len(c.offers) > 0 || k.holds && now-c.since < seatFor, Known: k.holds, Idle: now - c.line.Used})
+			guests = append(guests, budget.Guest{Busy: len(c.offers) > 0 || k.holds && now-c.since < s.seatFor, Known: k.holds, Idle: now - c.line.Used})
 			conns = append(conns, c)
 		}
 	}
@@ -245,6 +272,7 @@
 			c.lc.Close()
 		}
 	}
+	k.wanted = false
 	if !holds && len(k.owed) == 0 || len(k.conns) > 0 {
 		return
 	}
@@ -263,9 +291,7 @@
 		}
 	}
 	// One that has gone is not dialled: another machine may sit there by now, and its word would be taken for the gone one's.
-	if k.dialing == nil && now >= k.retryAt && n.State != placer.Gone {
-		k.dial()
-	}
+	k.wanted = n.State != placer.Gone
 }
 
 var check = jsonl.Message{Kind: jsonl.Check, UID: "0000000000000001", ID: 1, HasReason: true}
@@ -356,6 +382,7 @@
 	if i := slices.Index(k.conns, c); i >= 0 {
 		k.conns = slices.Delete(k.conns, i, i+1)
 	}
+	k.downAt = s.l.Now()
 	if !errors.Is(err, loop.ErrClosedHere) {
 		s.stats.NodeBreaks++
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -59,6 +59,8 @@
 	nodeConns int
 	nextNode  uint64
 	links     map[placer.NodeID]*link
+	waiting   []*link // scratch of reconnect
+	seatFor   float64
 	bulletin  *bulletin
 	resume    []*loop.Conn
 	starts    []*dispatch.Offer // attempts that go out at the end of the turn
@@ -97,6 +99,7 @@
 		links: map[placer.NodeID]*link{}, stats: Stats{BadOwners: map[string]uint64{}, BadMachines: map[string]uint64{}}}
 	s.rng = rand.New(rand.NewPCG(cfg.Seed, 0x6a09e667f3bcc908))
 	s.reach = connpool.Reach{SilentFor: silentFor, RefusedFor: refusedFor}
+	s.seatFor = seatFor
 	s.shared = connpool.DefaultShared()
 	s.shared.MaxIdle = cfg.Settings.ConnIdle * 0.6 // well before the machine closes it: an offer must not cross that
 	sockets := cfg.Sockets
@@ -258,6 +261,7 @@
 	for _, k := range s.links {
 		k.keep()
 	}
+	s.reconnect()
 	s.pump()
 	s.l.After(housekeeping, s.keep)
 }
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -336,6 +336,72 @@
 	}
 }
 
+// TestMachinesTakeTurns: more machines hold tasks than there are seats for connections to them. They take turns, and between two turns of one no
+// other has more than two: so each can say how its tasks end before that is overdue.
+func TestMachinesTakeTurns(t *testing.T) {
+	const machines, turns = 40, 4
+	order := make(chan int, 10000)
+	var addrs []string
+	for i := range machines {
+		ln := listen(t, "127.0.0.1:0")
+		t.Cleanup(func() { ln.Close() })
+		addrs = append(addrs, ln.Addr().String())
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				order <- i
+				go func() {
+					r := bufio.NewReader(c)
+					for {
+						line, err := r.ReadString('\n')
+						if err != nil {
+							c.Close()
+							return
+						}
+						if strings.Contains(line, `"check"`) {
+							fmt.Fprintf(c, `{"kind":"checked","uid":%q,"reason":1}`+"\n", uid(line))
+						}
+					}
+				}()
+			}
+		}()
+	}
+	sv := serve(t, 64, addrs...)
+	o := sv.owner()
+	sv.on(func() { sv.seatFor = 0.1 })
+	for i := range machines {
+		io.WriteString(o, strings.Replace(launch(i+1, "query", `"x"`), "service:", fmt.Sprintf("at:s-%08x;service:", i+1), 1))
+	}
+	had := make([]int, machines)
+	between := make([][]int, machines) // how often each of the others had a turn since the last one of this
+	for i := range between {
+		between[i] = make([]int, machines)
+	}
+	for done := 0; done < machines; {
+		i := wait(t, "turn", order)
+		if had[i]++; had[i] == turns {
+			done++
+		}
+		between[i] = make([]int, machines)
+		for j := range between {
+			if j == i {
+				continue
+			}
+			if between[j][i]++; between[j][i] > 2 && had[j] < turns {
+				t.Fatalf("machine %d had %d turns since the last one of machine %d", i, between[j][i], j)
+			}
+		}
+	}
+	sv.on(func() {
+		if sv.c.Standing() != machines || sv.nodeConns > sv.maxNodes || sv.maxNodes >= machines/2+5 {
+			t.Errorf("%d stand, %d connections of %d", sv.c.Standing(), sv.nodeConns, sv.maxNodes)
+		}
+	})
+}
+
 // TestDialThatNeverComesUp: neither its descriptor nor its queue stays, and its set-ups are answered.
 func TestDialThatNeverComesUp(t *testing.T) {
 	sv := serve(t, 256, silentPort(t, 0))
