Half of the descriptors are for connections to machines, in place of three tenths

Reason: PROTOCOL has owners hold a third of the descriptor limit at most; seven tenths were kept for them, while schedulers with tasks at up to 400 machines had 230 to 290 seats and took turns. Half leaves strangers a sixth beside the owners' third.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -106,7 +106,7 @@
 	if sockets == 0 {
 		sockets = 4096
 	}
-	s.maxNodes = (sockets - spareSockets) * 3 / 10
+	s.maxNodes = (sockets - spareSockets) / 2 // owners hold a third at most; what is left of the other half is for strangers
 	s.maxOwners = sockets - spareSockets - s.maxNodes
 	l.SetMaxConns(s.maxOwners)
 	if s.ln, err = l.Listen(cfg.Listen, s.accept); err != nil {
