Standard names: eviction, keep-alive, connection state, expiry

Guest and Missed are Candidate and Evict, a connection's Line is its State, Tend is KeepAlive, Word of a machine that was heard is Heard, goneSoon and forgetSoon are expireTasks and expireNode, Offer.Line is Offer.Conn. No change of behaviour; tests of the four packages pass.

--- a/internal/budget/seats.go
+++ b/internal/budget/seats.go
@@ -1,21 +1,21 @@
 package budget
 
-// Guest is one connection, as seen by who must make room for another.
-type Guest struct {
+// Candidate is one connection, as seen by who must make room for another.
+type Candidate struct {
 	Busy  bool    // something is under way on it
 	Known bool    // something on it once came to a good end
 	Idle  float64 // seconds since it last said something that made sense
 }
 
-// Missed returns the guest that is missed least when a seat is needed: strangers before those that are known, the longest idle first, and
+// Evict returns the candidate that is missed least when a seat is needed: strangers before those that are known, the longest idle first, and
 // none on which something is under way. It returns -1 if all are busy.
-func Missed(guests []Guest) int {
+func Evict(candidates []Candidate) int {
 	least := -1
-	for i, g := range guests {
+	for i, g := range candidates {
 		if g.Busy {
 			continue
 		}
-		if least < 0 || guests[least].Known && !g.Known || guests[least].Known == g.Known && g.Idle > guests[least].Idle {
+		if least < 0 || candidates[least].Known && !g.Known || candidates[least].Known == g.Known && g.Idle > candidates[least].Idle {
 			least = i
 		}
 	}
--- a/internal/budget/seats_test.go
+++ b/internal/budget/seats_test.go
@@ -2,19 +2,19 @@
 
 import "testing"
 
-func TestMissed(t *testing.T) {
+func TestEvict(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		guests []Guest
-		want   int
+		name       string
+		candidates []Candidate
+		want       int
 	}{
 		{"nobody", nil, -1},
-		{"all busy", []Guest{{Busy: true, Idle: 9}, {Busy: true}}, -1},
-		{"the longest idle stranger", []Guest{{Idle: 1}, {Idle: 3}, {Idle: 2}}, 1},
-		{"strangers before the known", []Guest{{Known: true, Idle: 90}, {Idle: 1}}, 1},
-		{"the known where no stranger is", []Guest{{Known: true, Idle: 1}, {Busy: true, Idle: 9}, {Known: true, Idle: 2}}, 2},
+		{"all busy", []Candidate{{Busy: true, Idle: 9}, {Busy: true}}, -1},
+		{"the longest idle stranger", []Candidate{{Idle: 1}, {Idle: 3}, {Idle: 2}}, 1},
+		{"strangers before the known", []Candidate{{Known: true, Idle: 90}, {Idle: 1}}, 1},
+		{"the known where no stranger is", []Candidate{{Known: true, Idle: 1}, {Busy: true, Idle: 9}, {Known: true, Idle: 2}}, 2},
 	} {
-		if got := Missed(c.guests); got != c.want {
+		if got := Evict(c.candidates); got != c.want {
 			t.Errorf("%s: %d, want %d", c.name, got, c.want)
 		}
 	}
--- a/internal/connpool/shared.go
+++ b/internal/connpool/shared.go
@@ -13,8 +13,8 @@
 // DefaultShared suits machines that answer tests at once over a network of a few milliseconds.
 func DefaultShared() Shared { return Shared{TestAfter: 1, TestFor: 0.5} }
 
-// Line is the state of one such connection. Times are points on one clock.
-type Line struct {
+// State is that of one such connection. Times are points on one clock.
+type State struct {
 	Requests int     // without an answer
 	Held     bool    // the machine holds something whose end it will tell
 	Spare    bool    // another connection serves as well
@@ -25,7 +25,7 @@
 }
 
 // Usable says whether requests may go out on the connection: not while a test or the rest of a message is waited for.
-func (l Line) Usable() bool { return l.Tested == 0 && l.Cut == 0 }
+func (s State) Usable() bool { return s.Tested == 0 && s.Cut == 0 }
 
 // Upkeep is what to do with a connection.
 type Upkeep uint8
@@ -38,18 +38,18 @@
 	Break                // close it: it carries nothing any more, what is open on it has to be taken for lost
 )
 
-// Tend decides for one connection.
-func (p Shared) Tend(now float64, l Line) Upkeep {
+// KeepAlive decides for one connection.
+func (p Shared) KeepAlive(now float64, s State) Upkeep {
 	switch {
-	case l.Cut > 0 && now-l.Cut > p.TestFor:
+	case s.Cut > 0 && now-s.Cut > p.TestFor:
 		return Break
-	case l.Tested > 0:
-		if now-l.Tested > p.TestFor {
+	case s.Tested > 0:
+		if now-s.Tested > p.TestFor {
 			return Break
 		}
-	case (l.Requests > 0 || l.Held) && now-max(l.Heard, l.Used) > p.TestAfter:
+	case (s.Requests > 0 || s.Held) && now-max(s.Heard, s.Used) > p.TestAfter:
 		return Test
-	case l.Requests == 0 && p.MaxIdle > 0 && now-l.Used > p.MaxIdle && (!l.Held || l.Spare):
+	case s.Requests == 0 && p.MaxIdle > 0 && now-s.Used > p.MaxIdle && (!s.Held || s.Spare):
 		return Retire
 	}
 	return Leave
@@ -65,8 +65,8 @@
 	failed        bool // a dial, since the last word
 }
 
-// Word tells that something came from the machine, or that a connection came up.
-func (r *Reach) Word(now float64) { r.word, r.refused, r.failed = now, 0, false }
+// Heard tells that something came from the machine, or that a connection came up.
+func (r *Reach) Heard(now float64) { r.word, r.refused, r.failed = now, 0, false }
 
 // Failed tells that a dial failed, and whether it was refused rather than left without an answer.
 func (r *Reach) Failed(now float64, refused bool) {
--- a/internal/connpool/shared_test.go
+++ b/internal/connpool/shared_test.go
@@ -2,24 +2,24 @@
 
 import "testing"
 
-func TestTend(t *testing.T) {
+func TestKeepAlive(t *testing.T) {
 	p := Shared{MaxIdle: 9, TestAfter: 1, TestFor: 0.5}
 	for _, c := range []struct {
 		name string
-		l    Line
+		l    State
 		want Upkeep
 	}{
-		{"at work", Line{Requests: 1, Used: 99.5, Heard: 99}, Leave},
-		{"no word while something is expected", Line{Requests: 1, Used: 98.9, Heard: 98}, Test},
-		{"no word while tasks stand", Line{Held: true, Used: 50, Heard: 98}, Test},
-		{"tested just now", Line{Held: true, Used: 50, Heard: 98, Tested: 99.6}, Leave},
-		{"test unanswered", Line{Requests: 3, Used: 99, Heard: 98, Tested: 99.4}, Break},
-		{"a message that does not end", Line{Requests: 1, Used: 99.9, Heard: 99.9, Cut: 99.4}, Break},
-		{"idle", Line{Used: 90, Heard: 99}, Retire},
-		{"idle, but tasks stand", Line{Used: 90, Heard: 99.5, Held: true}, Leave},
-		{"idle, tasks stand, another serves", Line{Used: 90, Heard: 99.5, Held: true, Spare: true}, Retire},
+		{"at work", State{Requests: 1, Used: 99.5, Heard: 99}, Leave},
+		{"no word while something is expected", State{Requests: 1, Used: 98.9, Heard: 98}, Test},
+		{"no word while tasks stand", State{Held: true, Used: 50, Heard: 98}, Test},
+		{"tested just now", State{Held: true, Used: 50, Heard: 98, Tested: 99.6}, Leave},
+		{"test unanswered", State{Requests: 3, Used: 99, Heard: 98, Tested: 99.4}, Break},
+		{"a message that does not end", State{Requests: 1, Used: 99.9, Heard: 99.9, Cut: 99.4}, Break},
+		{"idle", State{Used: 90, Heard: 99}, Retire},
+		{"idle, but tasks stand", State{Used: 90, Heard: 99.5, Held: true}, Leave},
+		{"idle, tasks stand, another serves", State{Used: 90, Heard: 99.5, Held: true, Spare: true}, Retire},
 	} {
-		if got := p.Tend(100, c.l); got != c.want {
+		if got := p.KeepAlive(100, c.l); got != c.want {
 			t.Errorf("%s: %d, want %d", c.name, got, c.want)
 		}
 	}
@@ -27,12 +27,12 @@
 
 func TestReach(t *testing.T) {
 	r := Reach{SilentFor: 6, RefusedFor: 1}
-	r.Word(100)
+	r.Heard(100)
 	r.Failed(101, false)
 	if r.Lost(105.9) != Present || r.Lost(106.1) != Silent {
 		t.Error("silence: want lost after 6 s without a word")
 	}
-	r.Word(107)
+	r.Heard(107)
 	r.Failed(108, true)
 	if r.Lost(108.9) != Present || r.Lost(109.1) != Ended {
 		t.Error("refusals: want lost after 1 s of them")
@@ -41,7 +41,7 @@
 	if r.Lost(110) != Present {
 		t.Error("a dial without an answer ends the refusals")
 	}
-	r.Word(200)
+	r.Heard(200)
 	if r.Lost(300) != Present {
 		t.Error("not dialled: want no verdict")
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -83,8 +83,8 @@
 type Offer struct {
 	Node    placer.NodeID
 	Message jsonl.Message
-	// Line is the caller's: the connection it went out on.
-	Line any
+	// Conn is the caller's: the connection it went out on.
+	Conn any
 
 	t       *task
 	attempt int
@@ -534,7 +534,7 @@
 	c.post(placer.Event{Kind: placer.Running, ID: t.id, Task: x, Node: n.ID})
 	c.out = append(c.out, Effect{Kind: Held, Offer: o})
 	if n.State == placer.Gone {
-		c.goneSoon(n)
+		c.expireTasks(n)
 	}
 	return nil
 }
--- a/internal/dispatch/offers.go
+++ b/internal/dispatch/offers.go
@@ -188,7 +188,7 @@
 		if n := c.nodes[o.Node]; n != nil {
 			n.standing[o] = struct{}{}
 			if n.State == placer.Gone {
-				c.goneSoon(n) // the list's word was first; no second one will come to end this task
+				c.expireTasks(n) // the list's word was first; no second one will come to end this task
 			}
 		}
 		a := reply(&t.m, jsonl.Running, -1)
@@ -319,9 +319,9 @@
 	return &r
 }
 
-// goneSoon takes what stands at a machine that has gone for lost, once it has stayed away for a moment: its own word of its tasks comes by
+// expireTasks takes what stands at a machine that has gone for lost, once it has stayed away for a moment: its own word of its tasks comes by
 // its connections and says more than the list's.
-func (c *Core) goneSoon(n *Node) {
+func (c *Core) expireTasks(n *Node) {
 	if len(n.standing) == 0 {
 		return
 	}
@@ -338,8 +338,8 @@
 	})
 }
 
-// forgetSoon takes a machine that has gone for good out of the books.
-func (c *Core) forgetSoon(n *Node) {
+// expireNode takes a machine that has gone for good out of the books.
+func (c *Core) expireNode(n *Node) {
 	if n.leaving {
 		return
 	}
@@ -349,7 +349,7 @@
 		switch {
 		case n.State != placer.Gone:
 		case len(n.standing) > 0 || n.toldAt+forgetAfter > c.now:
-			c.forgetSoon(n)
+			c.expireNode(n)
 		default:
 			delete(c.nodes, n.ID)
 		}
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -177,8 +177,8 @@
 	c.post(placer.Event{Kind: placer.Listed, List: kind, Nodes: changed})
 	for _, n := range c.nodes {
 		if n.State == placer.Gone {
-			c.goneSoon(n)
-			c.forgetSoon(n)
+			c.expireTasks(n)
+			c.expireNode(n)
 			continue
 		}
 		for o := range n.standing {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -56,7 +56,7 @@
 	offers map[*dispatch.Offer]struct{}
 	up     bool
 	since  float64 // when it came up
-	line   connpool.Line
+	state  connpool.State
 	m      jsonl.Message
 }
 
@@ -106,7 +106,7 @@
 func (k *link) usable() *nodeConn {
 	var best *nodeConn
 	for _, c := range k.conns {
-		if c.line.Usable() && (best == nil || c.line.Heard > best.line.Heard) {
+		if c.state.Usable() && (best == nil || c.state.Heard > best.state.Heard) {
 			best = c
 		}
 	}
@@ -184,15 +184,15 @@
 // freeSeat closes the connection to a machine that is missed least, and says whether there was one.
 func (s *Server) freeSeat() bool {
 	now := s.l.Now()
-	var guests []budget.Guest
+	var candidates []budget.Candidate
 	var conns []*nodeConn
 	for _, k := range s.links {
 		for _, c := range k.conns {
-			guests = append(guests, budget.Guest{Busy: len(c.offers) > 0 || k.holds && now-c.since < s.seatFor, Known: k.holds, Idle: now - c.line.Used})
+			candidates = append(candidates, budget.Candidate{Busy: len(c.offers) > 0 || k.holds && now-c.since < s.seatFor, Known: k.holds, Idle: now - c.state.Used})
 			conns = append(conns, c)
 		}
 	}
-	i := budget.Missed(guests)
+	i := budget.Evict(candidates)
 	if i >= 0 {
 		conns[i].lc.Close()
 	}
@@ -204,9 +204,9 @@
 	if !s.c.MayStart(s.l.Now(), o) {
 		return
 	}
-	o.Line = c
+	o.Conn = c
 	c.offers[o] = struct{}{}
-	c.line.Used = s.l.Now()
+	c.state.Used = s.l.Now()
 	s.trace(">node", c.no, c.lc.Peer(), &o.Message)
 	c.lc.SetOut(o.Message.Append(c.lc.Out()))
 }
@@ -214,7 +214,7 @@
 // release sends a message about an offer to its machine.
 func (k *link) release(e *dispatch.Effect) {
 	s := k.s
-	c, _ := e.Offer.Line.(*nodeConn)
+	c, _ := e.Offer.Conn.(*nodeConn)
 	if c != nil {
 		delete(c.offers, e.Offer)
 	}
@@ -238,8 +238,8 @@
 }
 
 func (c *nodeConn) test() {
-	if c.line.Tested == 0 {
-		c.line.Tested = c.k.s.l.Now()
+	if c.state.Tested == 0 {
+		c.state.Tested = c.k.s.l.Now()
 		c.lc.SetOut(check.Append(c.lc.Out()))
 	}
 }
@@ -257,12 +257,12 @@
 		return
 	}
 	if holds && !k.holds {
-		k.reach.Word(now) // what came of it before says nothing of these tasks
+		k.reach.Heard(now) // what came of it before says nothing of these tasks
 	}
 	k.holds = holds
 	for _, c := range slices.Clone(k.conns) {
-		c.line.Requests, c.line.Held, c.line.Spare = len(c.offers), holds, len(k.conns) > 1
-		switch s.shared.Tend(now, c.line) {
+		c.state.Requests, c.state.Held, c.state.Spare = len(c.offers), holds, len(k.conns) > 1
+		switch s.shared.KeepAlive(now, c.state) {
 		case connpool.Test:
 			c.test()
 		case connpool.Retire:
@@ -299,8 +299,8 @@
 func (c *nodeConn) Opened(lc *loop.Conn) {
 	k := c.k
 	s := k.s
-	c.up, c.since, c.line.Heard, c.line.Used = true, s.l.Now(), s.l.Now(), s.l.Now()
-	k.reach.Word(s.l.Now())
+	c.up, c.since, c.state.Heard, c.state.Used = true, s.l.Now(), s.l.Now(), s.l.Now()
+	k.reach.Heard(s.l.Now())
 	if k.dialing == c {
 		k.dialing = nil
 	}
@@ -322,8 +322,8 @@
 
 func (c *nodeConn) Data(lc *loop.Conn, b []byte) int {
 	s := c.k.s
-	c.line.Heard = s.l.Now()
-	c.k.reach.Word(c.line.Heard)
+	c.state.Heard = s.l.Now()
+	c.k.reach.Heard(c.state.Heard)
 	n, err := s.lines(lc, b, func(line []byte) (bool, error) {
 		if err := jsonl.Parse(line, &c.m); err != nil {
 			return false, err
@@ -333,7 +333,7 @@
 		}
 		s.trace("node>", c.no, lc.Peer(), &c.m)
 		if c.m.Kind == jsonl.Checked {
-			c.line.Tested = 0
+			c.state.Tested = 0
 			return false, nil
 		}
 		s.c.FromNode(s.l.Now(), c.k.id, &c.m)
@@ -342,9 +342,9 @@
 	c.settle()
 	switch {
 	case n == len(b):
-		c.line.Cut = 0
-	case n > 0 || c.line.Cut == 0:
-		c.line.Cut = s.l.Now()
+		c.state.Cut = 0
+	case n > 0 || c.state.Cut == 0:
+		c.state.Cut = s.l.Now()
 	}
 	s.pump()
 	if err != nil && !lc.Closed() {
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -140,23 +140,23 @@
 // makeRoom closes the connection that is missed least, if nothing has come on it by now.
 func (s *Server) makeRoom() {
 	now := s.l.Now()
-	s.guests, s.guestOf = s.guests[:0], s.guestOf[:0]
+	s.candidates, s.candidateOf = s.candidates[:0], s.candidateOf[:0]
 	for _, oc := range s.owners {
 		if oc.ended {
 			continue // its seat is about to be free; it is not missed at all, but what it is owed may be on its way
 		}
 		open, good := s.c.OwnerOpen(oc.id)
-		s.guests = append(s.guests, budget.Guest{Busy: open > 0 || oc.opened == now, Known: good, Idle: now - max(oc.last, oc.part)})
-		s.guestOf = append(s.guestOf, oc)
+		s.candidates = append(s.candidates, budget.Candidate{Busy: open > 0 || oc.opened == now, Known: good, Idle: now - max(oc.last, oc.part)})
+		s.candidateOf = append(s.candidateOf, oc)
 	}
-	for i := budget.Missed(s.guests); i >= 0; i = budget.Missed(s.guests) {
-		oc := s.guestOf[i]
+	for i := budget.Evict(s.candidates); i >= 0; i = budget.Evict(s.candidates) {
+		oc := s.candidateOf[i]
 		oc.lc.ReadNow()
 		if open, _ := s.c.OwnerOpen(oc.id); open == 0 && !oc.lc.Paused() {
 			s.stats.Crowded++
 			oc.lc.Close()
 			return
 		}
-		s.guests[i].Busy = true
+		s.candidates[i].Busy = true
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -48,26 +48,26 @@
 	due  *loop.Timer
 	done func()
 
-	owners    map[dispatch.ConnID]*ownerConn
-	nextOwner dispatch.ConnID
-	maxOwners int
-	guests    []budget.Guest // scratch of makeRoom
-	guestOf   []*ownerConn
-	maxNodes  int
-	shared    connpool.Shared
-	reach     connpool.Reach // as each machine's begins
-	nodeConns int
-	nextNode  uint64
-	links     map[placer.NodeID]*link
-	waiting   []*link // scratch of reconnect
-	seatFor   float64
-	bulletin  *bulletin
-	resume    []*loop.Conn
-	starts    []*dispatch.Offer // attempts that go out at the end of the turn
-	stopping  bool
-	stopAt    float64
-	stats     Stats
-	complain  complaints
+	owners      map[dispatch.ConnID]*ownerConn
+	nextOwner   dispatch.ConnID
+	maxOwners   int
+	candidates  []budget.Candidate // scratch of makeRoom
+	candidateOf []*ownerConn
+	maxNodes    int
+	shared      connpool.Shared
+	reach       connpool.Reach // as each machine's begins
+	nodeConns   int
+	nextNode    uint64
+	links       map[placer.NodeID]*link
+	waiting     []*link // scratch of reconnect
+	seatFor     float64
+	bulletin    *bulletin
+	resume      []*loop.Conn
+	starts      []*dispatch.Offer // attempts that go out at the end of the turn
+	stopping    bool
+	stopAt      float64
+	stats       Stats
+	complain    complaints
 }
 
 // Stats counts what passed on the sockets.
