A task that its machine sends away before its answer came has stood and is over

Its way in the trace of n0: 10.117 launch to 127.11.0.67; 10.430 from there "stop","reason":41,"note":"drained"; 10.430 launch to 127.11.0.7; 10.438 running from there 14.927 "running" of 127.11.0.67 for the same id The answer of the first machine was late and its end overtook it. Ruled out: a second attempt out beside the first (the first had ended), a release that found no owner (none was written). At fault: stopped(), which took every reset before the answer for a set-up that broke on its way. Machines hand back as full what they have not accepted; what they evict, push out or send away has stood, and its end is owed to its owner within a second. Change: such an end is told to the owner with its cause, and to the module as bound and lost. A table in the core and a test on sockets, both seen to fail without it.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -710,6 +710,44 @@
 	}
 }
 
+// TestEndBeforeTheAnswer: a machine that sends a task away, evicts it or pushes it out had accepted it, though its answer is late: the task has
+// stood and is over. Its owner is told at once, no other attempt is made, and the late answer changes nothing. What broke on its way, or is
+// handed back as full, is tried elsewhere.
+func TestEndBeforeTheAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause int
+		note  string
+		over  bool
+	}{"sent away": {jsonl.CauseReset, "drained", true}, "evicted": {jsonl.CauseReset, "oom", true}, "pushed out": {jsonl.CauseReset, "preempted", true},
+		"broke on its way": {jsonl.CauseReset, "", false}, "full": {jsonl.CauseFull, "drained", false}} {
+		w, s, o := standing(t, "query")
+		h := w.setUps[o.Message.ID]
+		m := message(jsonl.Stop, o.Message.ID, c.cause)
+		m.Set(jsonl.Note, c.note)
+		w.c.FromNode(w.now, o.Node, &m)
+		var told []int
+		out := w.c.Ready()
+		for _, e := range out {
+			if e.Kind == Tell {
+				told = append(told, e.Message.Reason)
+			}
+		}
+		w.c.out = out
+		w.pump()
+		bound := false
+		for _, ev := range s.events {
+			bound = bound || ev.Kind == placer.Bound
+		}
+		if c.over != (len(told) == 1 && told[0] == jsonl.CauseReset) || bound != c.over || s.last().Over != c.over || h.answers != 1 {
+			t.Errorf("%s: owner told %v, module told that it stood %v, last event %+v", name, told, bound, s.last())
+		}
+		accept(w, o)
+		if w.c.Standing() != 0 || h.answers != 1 {
+			t.Errorf("%s: stands after a late answer", name)
+		}
+	}
+}
+
 func TestTasksHeldAlready(t *testing.T) {
 	w := newWorld(t, nil)
 	conn := w.open()
--- a/internal/dispatch/offers.go
+++ b/internal/dispatch/offers.go
@@ -224,6 +224,10 @@
 			c.done(o, placer.Moot, why, r)
 		default:
 			c.Counts.Broken++
+			if why == placer.Evicted || why == placer.PushedOut || why == placer.SentAway {
+				c.stood(o, m, why, r)
+				return
+			}
 			c.done(o, placer.Lost, why, r)
 		}
 	case bound:
@@ -241,6 +245,21 @@
 	}
 }
 
+// stood ends a set-up whose machine accepted it, though its answer has not come, and then evicted it, pushed it out or sent it away: what it has
+// not accepted, a machine hands back as full. The answer was lost or is late, the task has stood and is over, and that is its owner's to know,
+// who comes again; another attempt would have a task stand anew under an id that is over.
+func (c *Core) stood(o *Offer, m *jsonl.Message, why placer.Reason, r *placer.Report) {
+	t := o.t
+	c.Counts.Lost++
+	c.close(t)
+	if c.owners[t.conn] != nil {
+		c.tell(t.conn, reply(&t.m, jsonl.Stop, m.Reason))
+	}
+	c.post(placer.Event{Kind: placer.Bound, ID: t.id, Attempt: o.attempt, Node: o.Node, Elapsed: c.now - o.sent})
+	c.done(o, placer.Lost, why, r)
+	c.drop(t)
+}
+
 // noteEnd keeps the word of an end for as long as its owner may yet name the task as one that stands here. After a start a machine tells on
 // its first connection what ended while nobody was connected, and may be quicker than the owners with their thousands of tasks. A machine may
 // say a great many such things, so their number is bounded: the earliest go first.
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -422,6 +422,29 @@
 	})
 }
 
+// TestEndOvertakesTheAnswer: a machine's word that it sent a task away comes before its word that it accepted it. The task is over for its owner,
+// and no other machine gets it under that id.
+func TestEndOvertakesTheAnswer(t *testing.T) {
+	n := machine(t, func(c net.Conn, line string) {
+		if strings.Contains(line, `"launch"`) {
+			fmt.Fprintf(c, `{"kind":"stop","uid":%q,"reason":41,"meta":{"note":"drained"}}`+"\n", uid(line))
+			accepts(c, line)
+		}
+	})
+	other := machine(t, accepts)
+	sv := serve(t, 256, n.addr, other.addr)
+	o := sv.owner()
+	io.WriteString(o, launch(1, "query", `"x"`))
+	if line := o.line(); !strings.Contains(line, `"stop"`) || !strings.Contains(line, `"reason":41`) {
+		t.Fatal(line)
+	}
+	sv.until("late answer", func() bool { return sv.c.Counts.Unheld == 1 })
+	io.WriteString(o, test)
+	if line := o.line(); !strings.Contains(line, `"checked"`) {
+		t.Fatal(line)
+	}
+}
+
 // TestSecondAnswersChangeNothing: copies of answers, and answers under ids that nobody sent, come before, with and after the good one.
 func TestSecondAnswersChangeNothing(t *testing.T) {
 	n := machine(t, func(c net.Conn, line string) {
