Review: the handed-over task is withdrawn as a case, cases 2 and 3 are set anew

The reset connection becomes case 2, now with an owner that acknowledges every release, and a bad client that is sent the release of another client's task becomes case 3.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -31,7 +31,7 @@
 // deploy starts large nodes in the scheduler's room, which the list shows as full if largeFull is set, and one
 // small node in the other room, and the scheduler. It ends the case if that fails.
 func deploy(w *world, largeNodes int, largeFull bool) *deployment {
-	d := &deployment{world: w, owner: &owner{w: w, name: "owner"}}
+	d := &deployment{world: w, owner: &owner{w: w, name: "owner", acknowledges: true}}
 	for i := range largeNodes {
 		d.must(d.addNode([]string{"s-00000001", "s-00000002"}[i], "sala-norte", "nodo-grande", i+1))
 	}
@@ -103,7 +103,7 @@
 	d := deploy(w, 2, true)
 	conn := d.connect(w.listen)
 	begin := time.Now()
-	conn.launch(firstUID, unsafeClass, taskKey, 6*time.Second, "")
+	conn.launch(firstUID, unsafeClass, taskKey, 6*time.Second)
 	_, placed := d.owner.await("running", firstUID, begin, begin.Add(3*time.Second))
 	d.mustHold(placed && d.small().holds(firstUID), "the task was not placed at the small node")
 	at(begin, 500*time.Millisecond)
@@ -116,7 +116,7 @@
 	if moved {
 		time.Sleep(100 * time.Millisecond)
 		again := time.Now()
-		conn.launch(secondUID, unsafeClass, taskKey, 6*time.Second, "")
+		conn.launch(secondUID, unsafeClass, taskKey, 6*time.Second)
 		_, placedAgain := d.owner.await("running", secondUID, again, again.Add(7*time.Second))
 		w.note("owner: moved, came again; placed again: %v", placedAgain)
 	} else {
@@ -161,35 +161,6 @@
 	return status
 }
 
-// playHanded: a node is cut off, its task is given up by the scheduler, found running and handed over again.
-func playHanded(w *world) int {
-	d := deploy(w, 1, true)
-	conn := d.connect(w.listen)
-	begin := time.Now()
-	conn.launch(firstUID, unsafeClass, taskKey, 6*time.Second, "")
-	_, placed := d.owner.await("running", firstUID, begin, begin.Add(3*time.Second))
-	d.mustHold(placed && d.small().holds(firstUID), "the task was not placed at the small node")
-	at(begin, time.Second)
-	handAt := begin.Add(11 * time.Second)
-	if w.trouble {
-		d.must(d.small().cutOff(12 * time.Second))
-		release, released := d.owner.await("stop", firstUID, begin, begin.Add(10*time.Second))
-		if released {
-			w.note("owner: the task is over (cause %d) and may be running: waits %v", release.reason(), checkAfter)
-			handAt = release.at.Add(checkAfter)
-		}
-	}
-	time.Sleep(time.Until(handAt))
-	d.mustHold(d.small().holds(firstUID), "the node does not hold the task any more")
-	w.note("platform: node %s holds the task, which is handed to the scheduler", d.small().uid)
-	handedAt := time.Now()
-	conn.launch(firstUID, unsafeClass, taskKey, 6*time.Second, d.small().uid)
-	at(begin, 18*time.Second)
-	go d.small().endTask(firstUID, 16) // it ends by itself now if it has not ended
-	time.Sleep(100 * time.Millisecond)
-	return d.judgeReleased(firstUID, handedAt, d.small().endOf(firstUID))
-}
-
 // judgeReleased returns whether the owner was told, after since, that a task is over, within releaseWithin of
 // its end.
 func (d *deployment) judgeReleased(uid string, since, end time.Time) int {
@@ -209,7 +180,7 @@
 func (d *deployment) taskEndsUnattended(addr string) (begin time.Time) {
 	conn := d.connect(addr)
 	begin = time.Now()
-	conn.launch(firstUID, safeClass, taskKey, 5*time.Second, "")
+	conn.launch(firstUID, safeClass, taskKey, 5*time.Second)
 	_, placed := d.owner.await("running", firstUID, begin, begin.Add(3*time.Second))
 	d.mustHold(placed && d.small().holds(firstUID), "the task was not placed at the small node")
 	at(begin, 4100*time.Millisecond)
@@ -228,7 +199,7 @@
 	at(begin, 7500*time.Millisecond)
 	front.resetNext.Store(w.trouble)
 	conn := d.connect(front.addr)
-	conn.launch(secondUID, safeClass, "7f3a9c21e0b4d656", 5*time.Second, "")
+	conn.launch(secondUID, safeClass, "7f3a9c21e0b4d656", 5*time.Second)
 	if w.trouble {
 		select {
 		case <-conn.closed:
@@ -237,7 +208,7 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 		conn = d.connect(front.addr)
-		conn.launch(thirdUID, safeClass, "7f3a9c21e0b4d656", 5*time.Second, "")
+		conn.launch(thirdUID, safeClass, "7f3a9c21e0b4d656", 5*time.Second)
 	}
 	return d.judgeReleased(firstUID, begin, d.small().endOf(firstUID))
 }
@@ -253,10 +224,13 @@
 			conn.send(stopMessage("00000000deadbeef", 16)) // an id that nobody knows
 		})
 	}
+	first := d.connect(w.listen)
+	first.launch(thirdUID, safeClass, "7f3a9c21e0b4d657", 5*time.Second) // runs on
+	time.AfterFunc(4*time.Second, func() { first.Close() })
 	begin := d.taskEndsUnattended(w.listen)
 	at(begin, 7500*time.Millisecond)
 	conn := d.connect(w.listen)
-	conn.launch(secondUID, safeClass, "7f3a9c21e0b4d656", 5*time.Second, "")
+	conn.launch(secondUID, safeClass, "7f3a9c21e0b4d656", 5*time.Second)
 	return d.judgeReleased(firstUID, begin, d.small().endOf(firstUID))
 }
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,7 +21,6 @@
 
 var cases = map[string]func(w *world) int{
 	"move":    playMove,
-	"handed":  playHanded,
 	"reset":   playReset,
 	"foreign": playForeign,
 }
--- a/review/stand/owner.go
+++ b/review/stand/owner.go
@@ -14,6 +14,8 @@
 type owner struct {
 	w    *world
 	name string
+	// acknowledges is set if the owner answers each stop with stopped, which is free.
+	acknowledges bool
 
 	mu       sync.Mutex
 	received []receipt
@@ -68,6 +70,9 @@
 		c.owner.mu.Lock()
 		c.owner.received = append(c.owner.received, receipt{msg, time.Now()})
 		c.owner.mu.Unlock()
+		if msg.Kind == "stop" && c.owner.acknowledges {
+			c.send(&message{Kind: "stopped", UID: msg.UID})
+		}
 	}
 }
 
@@ -79,15 +84,12 @@
 	}
 }
 
-// launch sends a set-up. If heldBy is not empty, the set-up hands over a task that this node holds already.
-func (c *ownerConn) launch(uid, class, key string, left time.Duration, heldBy string) {
-	extras := "cores:0.5;memory:1;service:00000000b4d65521"
-	if heldBy != "" {
-		extras += ";at:" + heldBy
-	}
+// launch sends a set-up.
+func (c *ownerConn) launch(uid, class, key string, left time.Duration) {
 	body := "description of " + key
 	c.send(&message{Kind: "launch", UID: uid, Body: &body, Meta: map[string]string{
-		"class": class, "left": fmt.Sprint(left.Milliseconds()), "tenant": "localidad-norte", "key": key, "extras": extras,
+		"class": class, "left": fmt.Sprint(left.Milliseconds()), "tenant": "localidad-norte", "key": key,
+		"extras": "cores:0.5;memory:1;service:00000000b4d65521",
 	}})
 }
 
