Review case 2: the release of a task goes to connections given up while its node hung

A node stands still for 4 s. The scheduler closes its connection after half a second without an answer, and the next one too.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -33,9 +34,9 @@
 func deploy(w *world, largeNodes int, largeFull bool) *deployment {
 	d := &deployment{world: w, owner: &owner{w: w, name: "owner", acknowledges: true}}
 	for i := range largeNodes {
-		d.must(d.addNode([]string{"s-00000001", "s-00000002"}[i], "sala-norte", "nodo-grande", i+1))
+		d.must(d.addNode(fmt.Sprintf("s-%08x", i+1), "sala-norte", "nodo-grande", i+1))
 	}
-	d.must(d.addNode("s-00000003", "sala-sur", "nodo-estandar", 3))
+	d.must(d.addNode("s-000000ff", "sala-sur", "nodo-estandar", largeNodes+1))
 	var err error
 	w.bulletin, err = startBulletin(w, d.entries(largeFull)...)
 	d.must(err)
@@ -213,6 +214,25 @@
 	return d.judgeReleased(firstUID, begin, d.small().endOf(firstUID))
 }
 
+// playHang: one of twenty nodes stands still for some seconds, and a task of it ends meanwhile.
+func playHang(w *world) int {
+	d := deploy(w, 19, true)
+	conn := d.connect(w.listen)
+	begin := time.Now()
+	conn.launch(firstUID, unsafeClass, taskKey, 6*time.Second)
+	_, placed := d.owner.await("running", firstUID, begin, begin.Add(3*time.Second))
+	d.mustHold(placed && d.small().holds(firstUID), "the task was not placed at the small node")
+	at(begin, 2*time.Second)
+	if w.trouble {
+		d.small().hang(4*time.Second, func() { d.small().endTask(firstUID, 16) })
+		at(begin, 6100*time.Millisecond)
+	} else {
+		at(begin, 6*time.Second)
+		d.small().endTask(firstUID, 16)
+	}
+	return d.judgeReleased(firstUID, begin, d.small().endOf(firstUID))
+}
+
 // playForeign: a bad client has a connection open when a task of the owner ends.
 func playForeign(w *world) int {
 	d := deploy(w, 1, true)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 	"move":    playMove,
 	"reset":   playReset,
 	"foreign": playForeign,
+	"hang":    playHang,
 }
 
 func main() {
--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -48,7 +48,7 @@
 type nodeConn struct {
 	node *node
 	net.Conn
-	write sync.Mutex
+	writing sync.Mutex
 }
 
 func startNode(w *world, uid, zone, kind string, rack int) (*node, error) {
@@ -114,6 +114,24 @@
 	return nil
 }
 
+// hang makes the node's process stand still for the given time. Its host goes on: it completes connections and
+// acknowledges what arrives. When the process goes on, it first does what became due meanwhile, by calling due,
+// then takes up the connections and messages that wait.
+func (n *node) hang(length time.Duration, due func()) {
+	n.mu.Lock()
+	n.cut = true
+	n.mu.Unlock()
+	n.w.note("node %s stands still for %v", n.uid, length)
+	time.AfterFunc(length, func() {
+		n.w.note("node %s goes on", n.uid)
+		due()
+		n.mu.Lock()
+		n.cut = false
+		n.joins.Broadcast()
+		n.mu.Unlock()
+	})
+}
+
 func (n *node) setBacklog(length int) error {
 	raw, err := n.listener.SyscallConn()
 	if err != nil {
@@ -133,16 +151,17 @@
 			return
 		}
 		n.awaitJoined()
+		n.w.note("node %s: connection from %s is opened", n.uid, conn.RemoteAddr())
 		nc := &nodeConn{node: n, Conn: conn}
 		n.mu.Lock()
 		n.conns = append(n.conns, nc)
 		owed := n.owed
 		n.owed = nil
 		n.mu.Unlock()
-		go nc.read()
 		for _, release := range owed {
 			nc.send(release)
 		}
+		go nc.read()
 	}
 }
 
@@ -226,7 +245,7 @@
 	n.mu.Unlock()
 	n.w.note("node %s: task %s (key %s) has ended, cause %d", n.uid, uid, ended.key, cause)
 	if conn != nil {
-		conn.send(release)
+		conn.write(release)
 	}
 	return true
 }
@@ -266,12 +285,17 @@
 }
 
 func (nc *nodeConn) send(msg *message) {
+	nc.node.awaitJoined()
+	nc.write(msg)
+}
+
+// write writes a message at once, also while the node is cut off or stands still.
+func (nc *nodeConn) write(msg *message) {
+	nc.writing.Lock()
+	defer nc.writing.Unlock()
 	n := nc.node
-	n.awaitJoined()
-	nc.write.Lock()
-	defer nc.write.Unlock()
 	if msg.Kind != "checked" {
-		n.w.note("node %s > scheduler: %s", n.uid, msg.line()[:len(msg.line())-1])
+		n.w.note("node %s, connection from %s > scheduler: %s", n.uid, nc.RemoteAddr(), msg.line()[:len(msg.line())-1])
 	}
 	_, _ = io.WriteString(nc.Conn, msg.line())
 }
