--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -224,10 +224,12 @@
 	d.mustHold(placed && d.small().holds(firstUID), "the task was not placed at the small node")
 	at(begin, 2*time.Second)
 	if w.trouble {
-		d.small().hang(4*time.Second, func() { d.small().endTask(firstUID, 16) })
-		at(begin, 6100*time.Millisecond)
+		d.small().hang(5*time.Second, func() { d.small().endTask(firstUID, 16) })
+		for d.small().holds(firstUID) && time.Since(begin) < 12*time.Second {
+			time.Sleep(5 * time.Millisecond)
+		}
 	} else {
-		at(begin, 6*time.Second)
+		at(begin, 7*time.Second)
 		d.small().endTask(firstUID, 16)
 	}
 	return d.judgeReleased(firstUID, begin, d.small().endOf(firstUID))
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -8,6 +8,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -40,6 +42,12 @@
 		w.note("the case took too long")
 		w.finish(couldNotRun)
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		w.note("ended by signal %v", <-signals)
+		w.finish(couldNotRun)
+	}()
 	w.note("case %s, disruption %v", os.Args[1], w.trouble)
 	w.finish(cases[os.Args[1]](w))
 }
