Review: the node of case 2 is a process that is stopped and continued

Before, the stand-in set the order in which it took up what waited. Now it is an ordinary server, stopped with SIGSTOP for 5 s.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -216,23 +216,26 @@
 
 // playHang: one of twenty nodes stands still for some seconds, and a task of it ends meanwhile.
 func playHang(w *world) int {
-	d := deploy(w, 19, true)
+	d := &deployment{world: w, owner: &owner{w: w, name: "owner", acknowledges: true}}
+	for i := range 19 {
+		d.must(d.addNode(fmt.Sprintf("s-%08x", i+1), "sala-norte", "nodo-grande", i+1))
+	}
+	hanging, err := startNodeProcess(w, "s-000000ff", "sala-sur", "nodo-estandar", 20, 6*time.Second)
+	d.must(err)
+	d.nodes = append(d.nodes, hanging.node)
+	w.bulletin, err = startBulletin(w, d.entries(true)...)
+	d.must(err)
+	d.must(w.startScheduler())
 	conn := d.connect(w.listen)
 	begin := time.Now()
 	conn.launch(firstUID, unsafeClass, taskKey, 6*time.Second)
 	_, placed := d.owner.await("running", firstUID, begin, begin.Add(3*time.Second))
-	d.mustHold(placed && d.small().holds(firstUID), "the task was not placed at the small node")
+	d.mustHold(placed && hanging.runs(firstUID), "the task was not placed at the small node")
 	at(begin, 2*time.Second)
 	if w.trouble {
-		d.small().hang(5*time.Second, func() { d.small().endTask(firstUID, 16) })
-		for d.small().holds(firstUID) && time.Since(begin) < 12*time.Second {
-			time.Sleep(5 * time.Millisecond)
-		}
-	} else {
-		at(begin, 7*time.Second)
-		d.small().endTask(firstUID, 16)
+		hanging.hang(5 * time.Second)
 	}
-	return d.judgeReleased(firstUID, begin, d.small().endOf(firstUID))
+	return d.judgeReleased(firstUID, begin, hanging.awaitEnd(firstUID, begin.Add(12*time.Second)))
 }
 
 // playForeign: a bad client has a connection open when a task of the owner ends.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,6 +29,10 @@
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "node" {
+		runNode(os.Args[2], os.Args[3])
+		return
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE REPOSITORY RECORD")
 		os.Exit(couldNotRun)
--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -43,6 +43,8 @@
 	conns []*nodeConn
 	runs  []*run
 	owed  []*message // releases that are sent on the next connection opened as well
+
+	life time.Duration // how long a task runs; 0 if it runs until endTask is called
 }
 
 type nodeConn struct {
@@ -114,24 +116,6 @@
 	return nil
 }
 
-// hang makes the node's process stand still for the given time. Its host goes on: it completes connections and
-// acknowledges what arrives. When the process goes on, it first does what became due meanwhile, by calling due,
-// then takes up the connections and messages that wait.
-func (n *node) hang(length time.Duration, due func()) {
-	n.mu.Lock()
-	n.cut = true
-	n.mu.Unlock()
-	n.w.note("node %s stands still for %v", n.uid, length)
-	time.AfterFunc(length, func() {
-		n.w.note("node %s goes on", n.uid)
-		due()
-		n.mu.Lock()
-		n.cut = false
-		n.joins.Broadcast()
-		n.mu.Unlock()
-	})
-}
-
 func (n *node) setBacklog(length int) error {
 	raw, err := n.listener.SyscallConn()
 	if err != nil {
@@ -213,6 +197,9 @@
 		n.runs = append(n.runs, started)
 		n.mu.Unlock()
 		n.w.note("node %s runs task %s (key %s, class %s)", n.uid, started.uid, started.key, started.class)
+		if n.life > 0 {
+			time.AfterFunc(n.life, func() { n.endTask(msg.UID, 16) })
+		}
 		body := "placed at " + n.uid + " for " + msg.UID
 		nc.send(&message{Kind: "running", UID: msg.UID, Body: &body})
 	case "stop":
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -52,6 +52,7 @@
 	mu        sync.Mutex
 	record    *os.File
 	scheduler *exec.Cmd
+	children  []*exec.Cmd // nodes in processes of their own
 	logPath   string
 	listen    string
 	bulletin  *bulletin
@@ -84,6 +85,10 @@
 // finish ends the scheduler, closes the record and exits.
 func (w *world) finish(status int) {
 	w.finishing.Do(func() {
+		for _, child := range w.children {
+			_ = child.Process.Kill()
+			_ = child.Wait()
+		}
 		if w.scheduler != nil {
 			_ = w.scheduler.Process.Kill()
 			_ = w.scheduler.Wait()
