--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -158,15 +158,14 @@
 		line, err := reader.ReadBytes('\n')
 		n.awaitJoined()
 		if err != nil {
+			n.w.note("node %s, connection from %s: ended (%v)", n.uid, nc.RemoteAddr(), err)
 			return
 		}
 		var msg message
 		if json.Unmarshal(line, &msg) != nil {
 			return
 		}
-		if msg.Kind != "check" {
-			n.w.note("scheduler > node %s: %s", n.uid, line[:len(line)-1])
-		}
+		n.w.note("scheduler > node %s, connection from %s: %s", n.uid, nc.RemoteAddr(), line[:len(line)-1])
 		nc.handle(&msg)
 	}
 }
@@ -281,8 +280,9 @@
 	nc.writing.Lock()
 	defer nc.writing.Unlock()
 	n := nc.node
-	if msg.Kind != "checked" {
-		n.w.note("node %s, connection from %s > scheduler: %s", n.uid, nc.RemoteAddr(), msg.line()[:len(msg.line())-1])
+	text := msg.line()
+	n.w.note("node %s, connection from %s > scheduler: %s", n.uid, nc.RemoteAddr(), text[:len(text)-1])
+	if _, err := io.WriteString(nc.Conn, text); err != nil {
+		n.w.note("node %s, connection from %s: %v", n.uid, nc.RemoteAddr(), err)
 	}
-	_, _ = io.WriteString(nc.Conn, msg.line())
 }
