A migrated task is requested again only after its node has stopped it

Two nodes run a task of a class that must not start twice until the cut ends.

Cause: taskController.migrateTask sent `migrate` first and emitted the order to stop the task afterwards; nothing waited for the node. Without a connection the order lay in nodeLink.pendingMessages, and requestStop wrote it once, so that a broken connection lost it. After 0.4 s without a confirmation the client was told that the task had ended.

Evidence: a run of the case with a trace log has the end of the node's connection, then `migrate` to the client, and no `stop` to the node before the cut is over; the node saw the order 10.1 s after the `migrate`. Telling the client after 0.4 s is what fails.

Change: a node handles the messages of a connection in order, so its answer to a `check` sent behind the `stop` proves that it has read the order. The client gets `migrate` when the node reports the stop or answers that check. Before the order the node answers a first check, so that a node that cannot be reached keeps its task. Orders without confirmation are sent again on the next connection, for stops by clients and of unresponsive nodes as well, and the placer learns of the end with the confirmation and not after 8 s. No migration begins after SIGTERM. pendingMessages is gone: the end of a connection gives up the attempts on it. sendFinalAnswer and withdraw act on open requests only.

--- a/internal/platform/dispatch/attempt.go
+++ b/internal/platform/dispatch/attempt.go
@@ -27,7 +27,9 @@
 	createdAt    placer.Seconds // createdAt is when the placer requested the attempt or when the task was adopted.
 	runningSince placer.Seconds // runningSince is when the node's acceptance arrived or when the task was adopted.
 	timer        *timerqueue.Timer[placer.Seconds]
-	stopSent     bool // stopSent is set if the node was asked to stop the task.
+	stopOrdered  bool           // stopOrdered is set if the node was ordered to stop the running task.
+	stopCause    protocol.Cause // stopCause is the cause of the stop order.
+	awaitedCheck uint64         // awaitedCheck is the number of the check that the node has not answered, or 0.
 }
 
 // Live reports whether the attempt is live: either it waits for the answer of its node, or its task runs.
@@ -45,6 +47,11 @@
 // Unanswered reports whether the attempt waits for a connection to its node or for the node's answer.
 func (a *Attempt) Unanswered() bool { return a.state.isUnanswered() }
 
+// stopMessage returns the order to the node to stop the running task.
+func (a *Attempt) stopMessage() protocol.Message {
+	return replyTo(&a.request.message, protocol.Stop, a.stopCause)
+}
+
 func (a *Attempt) key() attemptKey { return attemptKey{a.Node, a.request.message.ID} }
 
 // attemptKey identifies the attempt to which a message of a node refers. It consists of the node that sent
--- a/internal/platform/dispatch/attempt_state.go
+++ b/internal/platform/dispatch/attempt_state.go
@@ -11,8 +11,8 @@
 	attemptSent
 	// attemptRunning means that the node accepted the attempt in time, or that the task was adopted.
 	attemptRunning
-	// attemptAbandoned means that the attempt ended without an answer. An answer that arrives in this state
-	// is late.
+	// attemptAbandoned means that the attempt ended without an answer, or that its node has not confirmed in
+	// time that it stopped the running task. An answer that arrives in this state is late.
 	attemptAbandoned
 	// attemptTerminated means that the attempt ended and that its node is not expected to send further
 	// messages about the attempt.
@@ -24,7 +24,7 @@
 var attemptStates = stateTable[attemptState]{
 	attemptPending:    {"pending", []attemptState{attemptSent, attemptAbandoned, attemptTerminated}},
 	attemptSent:       {"sent", []attemptState{attemptRunning, attemptAbandoned, attemptTerminated}},
-	attemptRunning:    {"running", []attemptState{attemptTerminated}},
+	attemptRunning:    {"running", []attemptState{attemptAbandoned, attemptTerminated}},
 	attemptAbandoned:  {"abandoned", []attemptState{attemptTerminated}},
 	attemptTerminated: {"terminated", nil},
 }
--- a/internal/platform/dispatch/attempt_table.go
+++ b/internal/platform/dispatch/attempt_table.go
@@ -11,18 +11,23 @@
 // nodes for the task. A client queries the nodes for a task if the outcome of an attempt is unknown.
 const lateAnswerRetention placer.Seconds = 5.0
 
+// stopOrderRetention is how long an order to stop a task is still sent to its node after the wait for the
+// node's confirmation was given up. It is as long as a terminated node is kept.
+const stopOrderRetention = terminatedNodeRetention
+
 // attemptTable owns the attempts about which nodes may still send messages. It changes their states and
 // reports their outcomes to the placer.
 type attemptTable struct {
 	*sharedState
-	nodes *nodeRegistry
+	nodes  *nodeRegistry
+	checks *nodeChecks
 
 	byKey              map[attemptKey]*Attempt
 	illegalTransitions int // illegalTransitions counts the transitions that attemptStates does not allow.
 }
 
-func newAttemptTable(shared *sharedState, nodes *nodeRegistry) *attemptTable {
-	return &attemptTable{sharedState: shared, nodes: nodes, byKey: map[attemptKey]*Attempt{}}
+func newAttemptTable(shared *sharedState, nodes *nodeRegistry, checks *nodeChecks) *attemptTable {
+	return &attemptTable{sharedState: shared, nodes: nodes, checks: checks, byKey: map[attemptKey]*Attempt{}}
 }
 
 // get returns the attempt with the given key, or nil if the table contains no such attempt.
@@ -165,21 +170,37 @@
 	}
 	t.transition(attempt, attemptAbandoned)
 	t.retainAbandoned(attempt)
-	t.sendStop(attempt, protocol.CauseEnd, timedOut)
+	t.sendGiveUp(attempt, timedOut)
 	t.postAttemptEnded(attempt, attemptOutcome{result: result})
 }
 
-// sendStop adds the effect that asks the node of an attempt to stop the task, or not to start it.
-func (t *attemptTable) sendStop(attempt *Attempt, cause protocol.Cause, timedOut bool) {
-	attempt.stopSent = true
+// sendGiveUp adds the effect that tells the node of an attempt that the scheduler has given the attempt up.
+func (t *attemptTable) sendGiveUp(attempt *Attempt, timedOut bool) {
 	t.addEffect(Effect{
 		Kind:     SendToNode,
 		Attempt:  attempt,
-		Message:  replyTo(&attempt.request.message, protocol.Stop, cause),
+		Message:  replyTo(&attempt.request.message, protocol.Stop, protocol.CauseEnd),
 		TimedOut: timedOut,
 	})
 }
 
+// orderStop orders the node of a running task to stop the task, and sends a check after the order.
+func (t *attemptTable) orderStop(attempt *Attempt, cause protocol.Cause) {
+	attempt.stopOrdered = true
+	attempt.stopCause = cause
+	t.checks.request(attempt)
+}
+
+// abandonRunning gives up the wait for a node to confirm that it stopped a running task. The order to stop
+// the task is still sent on the next connection to the node, for stopOrderRetention at most.
+func (t *attemptTable) abandonRunning(attempt *Attempt) {
+	t.counts.StopsUnconfirmed++
+	t.nodes.removeRunningAttempt(attempt)
+	t.transition(attempt, attemptAbandoned)
+	t.timers.Stop(attempt.timer)
+	t.setTimer(attempt, t.now+stopOrderRetention, func() { t.remove(attempt) })
+}
+
 // retainAbandoned sets a timer that removes an abandoned attempt. When the timer fires, the node is no longer
 // expected to send messages about the attempt.
 func (t *attemptTable) retainAbandoned(attempt *Attempt) {
@@ -200,6 +221,7 @@
 	if key := attempt.key(); t.byKey[key] == attempt {
 		delete(t.byKey, key)
 	}
+	t.checks.cancel(attempt)
 	t.nodes.removeRunningAttempt(attempt)
 	t.transition(attempt, attemptTerminated)
 }
--- a/internal/platform/dispatch/characterization_recorder_test.go
+++ b/internal/platform/dispatch/characterization_recorder_test.go
@@ -34,6 +34,8 @@
 	pendingAttempts []*dispatch.Attempt // These attempts have not been sent yet.
 	// sentAttempts contains all sent attempts and the attempts of all adopted tasks, even if they have ended.
 	sentAttempts []*dispatch.Attempt
+	// checks contains the effects of kinds StopTask and CheckNode whose checks no node has answered yet.
+	checks []dispatch.Effect
 	// nodeStates maps the number of each node to the state that its last entry in a node list contains.
 	nodeStates    map[int]string
 	sortEffects   bool // sortEffects is set for scripts in which the order of the effects is not defined.
@@ -154,6 +156,9 @@
 	if effect.TimedOut {
 		encoded = append(encoded, 1)
 	}
+	if effect.Check != 0 {
+		encoded = binary.BigEndian.AppendUint64(encoded, effect.Check)
+	}
 	if effect.Message.Kind != 0 {
 		encoded = effect.Message.Append(encoded)
 	}
@@ -178,6 +183,9 @@
 		if effect.Kind == dispatch.ConnectNode {
 			recorder.sentAttempts = append(recorder.sentAttempts, effect.Attempt)
 		}
+		if effect.Kind == dispatch.StopTask || effect.Kind == dispatch.CheckNode {
+			recorder.checks = append(recorder.checks, effect)
+		}
 	}
 	if recorder.sortEffects {
 		slices.SortFunc(encodedEffects, func(a, b []byte) int { return strings.Compare(string(a), string(b)) })
--- a/internal/platform/dispatch/characterization_script_test.go
+++ b/internal/platform/dispatch/characterization_script_test.go
@@ -247,6 +247,10 @@
 	kind := randomChoice(recorder, protocol.Stop, protocol.Stop, protocol.Stop, protocol.Stop, protocol.Stop, protocol.Update,
 		protocol.Update, protocol.Update, protocol.Launch, protocol.Staging, protocol.Stopped, protocol.Check,
 		protocol.Checked, protocol.Migrate)
+	if kind == protocol.Checked && len(recorder.checks) > 0 {
+		recorder.answerOldestCheck()
+		return
+	}
 	msg := wireMessage(kind, recorder.drawID())
 	msg.Cause, msg.HasCause = randomChoice[protocol.Cause](recorder, 16, 31, 34, 34, 41, 42, 47, 102, 5, 0), recorder.random.IntN(8) > 0
 	msg.Set(protocol.Note, randomChoice(recorder, "", "cpu_full", "mem_full", "busy", "wrong_host", "oom", "preempted", "drained", "other"))
@@ -269,6 +273,14 @@
 	recorder.receiveFromNode(attempt, &msg)
 }
 
+// answerOldestCheck makes a node answer the check that was sent first of those that no node has answered. The
+// core may no longer wait for the answer.
+func (recorder *scriptRecorder) answerOldestCheck() {
+	effect := recorder.checks[0]
+	recorder.checks = recorder.checks[1:]
+	recorder.core.CheckAnswered(recorder.now, effect.Attempt, effect.Check)
+}
+
 func (recorder *scriptRecorder) failRandomAttempt() {
 	if len(recorder.pendingAttempts) > 0 && recorder.random.IntN(2) == 0 {
 		recorder.core.ConnectFailed(recorder.now, randomChoice(recorder, recorder.pendingAttempts...))
@@ -283,6 +295,7 @@
 		recorder.core.NodeDead(recorder.now, id)
 	} else {
 		recorder.digestNumbers(uint64(recorder.core.NodeUnresponsive(recorder.now, id)))
+		recorder.core.RepeatChecks(recorder.now, id)
 	}
 }
 
--- a/internal/platform/dispatch/core.go
+++ b/internal/platform/dispatch/core.go
@@ -19,6 +19,7 @@
 //   - clientMessageHandler and nodeMessageHandler handle the messages of clients and of nodes;
 //   - taskController manages a task from its start to its end, and adoption adds tasks that run already;
 //   - requestTable and attemptTable store requests and attempts and change their states;
+//   - nodeChecks tracks which orders nodes have not confirmed yet;
 //   - notifier delivers notifications to clients, and earlyTerminationLog records the ends of tasks that the
 //     scheduler does not know;
 //   - clientRegistry stores the client connections, and nodeRegistry stores the nodes and their running
@@ -52,6 +53,7 @@
 	nodes          *nodeRegistry
 	requests       *requestTable
 	attempts       *attemptTable
+	checks         *nodeChecks
 	tasks          *taskController
 	notifier       *notifier
 	clientMessages *clientMessageHandler
@@ -81,9 +83,10 @@
 	c.clients = newClientRegistry(shared)
 	c.notifier = &notifier{sharedState: shared, clients: c.clients}
 	c.nodes = newNodeRegistry(shared)
-	c.attempts = newAttemptTable(shared, c.nodes)
+	c.checks = newNodeChecks(shared)
+	c.attempts = newAttemptTable(shared, c.nodes, c.checks)
 	c.requests = newRequestTable(shared, c.clients, c.attempts)
-	c.tasks = &taskController{sharedState: shared, clients: c.clients, requests: c.requests, attempts: c.attempts, notifier: c.notifier}
+	c.tasks = &taskController{sharedState: shared, clients: c.clients, requests: c.requests, attempts: c.attempts, checks: c.checks, notifier: c.notifier}
 	c.nodes.endLostTask = c.tasks.endLostTask
 	c.clientMessages = &clientMessageHandler{
 		sharedState: shared,
@@ -233,6 +236,36 @@
 	c.runEvents()
 }
 
+// RepeatChecks makes the core send the unanswered checks to a node again, together with the orders to stop
+// tasks that belong to them, because they may have been lost with a connection. The caller calls it when a
+// connection to the node was established, and when one has closed while another is established.
+func (c *Core) RepeatChecks(now placer.Seconds, id placer.NodeID) {
+	c.setClock(now)
+	c.checks.repeat(id)
+	c.runEvents()
+}
+
+// CheckAnswered tells the core that a node has answered the check with the given number, which an effect of
+// kind StopTask or CheckNode required for the attempt.
+func (c *Core) CheckAnswered(now placer.Seconds, attempt *Attempt, number uint64) {
+	c.setClock(now)
+	if c.checks.acceptAnswer(attempt, number) {
+		c.tasks.handleCheckAnswer(attempt)
+	}
+	c.runEvents()
+}
+
+// AwaitsCheckAnswer reports whether a check to the given node is unanswered, so that a connection to the node
+// is needed.
+func (c *Core) AwaitsCheckAnswer(id placer.NodeID) bool { return c.checks.awaitsAnswerOf(id) }
+
+// BeginShutdown tells the core that the process will end soon. The core starts no further migration: if the
+// node carried out the order after the process has ended, nobody would tell the client.
+func (c *Core) BeginShutdown(now placer.Seconds) {
+	c.setClock(now)
+	c.tasks.beginShutdown()
+}
+
 // NodeDead tells the core that the process of a node has exited or that the node has been terminated. The
 // core ends all tasks that run on the node.
 func (c *Core) NodeDead(now placer.Seconds, id placer.NodeID) {
--- a/internal/platform/dispatch/counts.go
+++ b/internal/platform/dispatch/counts.go
@@ -49,8 +49,13 @@
 
 	// TasksEnded counts the running tasks that ended, for any reason.
 	TasksEnded uint64
-	// Migrations counts the running tasks that the placer requested to migrate.
+	// Migrations counts the running tasks that ended for a migration. It does not count a task that ended by
+	// itself first, or whose node did not confirm the end.
 	Migrations uint64
+	// StopsRepeated counts the orders to stop a task that were sent again on another connection to the node.
+	StopsRepeated uint64
+	// StopsUnconfirmed counts the tasks whose node did not confirm in time that it stopped the task.
+	StopsUnconfirmed uint64
 	// TasksLost counts the running tasks that ended for a reason other than completion or a stop that the
 	// client or the placer requested. It includes the tasks on unresponsive nodes.
 	TasksLost uint64
--- a/internal/platform/dispatch/effect.go
+++ b/internal/platform/dispatch/effect.go
@@ -13,13 +13,23 @@
 	// before it writes the first byte.
 	SendAttempt
 	// SendToNode requires the caller to send Message to the node of Attempt. The caller uses the connection
-	// on which Attempt was sent if that connection is open, otherwise any connection to the node.
+	// on which Attempt was sent if that connection is open, otherwise any connection to the node. If no
+	// connection is established, the message is not sent: the end of the connection on which an attempt was
+	// sent tells the node that the attempt was given up.
 	SendToNode
 	// ConnectNode requires the caller to connect to the node of Attempt. The node runs an adopted task and
 	// needs a connection to report the end of the task.
 	ConnectNode
 	// NodesChanged reports that the set of nodes or their addresses may have changed.
 	NodesChanged
+	// StopTask requires the caller to send Message to the node of Attempt, and then a check, on one and the
+	// same connection. The caller selects the connection as for SendToNode. When the node has answered the
+	// check, the caller calls Core.CheckAnswered with the number in Check. If no connection to the node is
+	// established, or if the connection closes before the answer arrives, the caller sends nothing more:
+	// after the next call of Core.RepeatChecks, Ready returns the effect again.
+	StopTask
+	// CheckNode is like StopTask without the message: it requires the caller to send only a check.
+	CheckNode
 )
 
 // Effect is an action that the caller of Core.Ready has to carry out. Effects have to be carried out in the
@@ -32,4 +42,5 @@
 	// TimedOut is set in a SendToNode effect if Attempt was not answered in time. The connection on which
 	// Attempt was sent may then be broken.
 	TimedOut bool
+	Check    uint64 // Check is the number of the check in an effect of kind StopTask or CheckNode.
 }
--- a/internal/platform/dispatch/harness_test.go
+++ b/internal/platform/dispatch/harness_test.go
@@ -161,6 +161,12 @@
 	harness.core.execute(&placer.Action{Kind: placer.Migrate, Task: attempt.request.taskID})
 }
 
+// answerCheck makes the node of an attempt answer the last check that was sent for the attempt. It does not
+// call carryOutEffects.
+func (harness *coreHarness) answerCheck(attempt *Attempt) {
+	harness.core.CheckAnswered(harness.now, attempt, attempt.awaitedCheck)
+}
+
 // carryOutEffects takes the effects from the core and returns them. It records each attempt that is to be
 // sent, and passes each message for a client to receiveAsClient.
 func (harness *coreHarness) carryOutEffects() []Effect {
--- a/internal/platform/dispatch/invariants.go
+++ b/internal/platform/dispatch/invariants.go
@@ -54,7 +54,7 @@
 		if conn := t.clients.get(req.connID); conn == nil || !conn.hasOpenRequest(req) {
 			return fmt.Errorf("the open request is missing from the set of open requests of client connection %d", req.connID)
 		}
-	case requestRunning, requestMigrating, requestStopping:
+	case requestRunning, requestMigrationPlanned, requestMigrating, requestMigrated, requestStopping:
 		if !taskRuns {
 			return errors.New("no attempt runs the task")
 		}
--- a/internal/platform/dispatch/node_message.go
+++ b/internal/platform/dispatch/node_message.go
@@ -110,7 +110,7 @@
 	h.counts.LateAnswers++
 	idempotent := h.settings.Placer.Classes[attempt.request.class].Idempotency == placer.Idempotent
 	if idempotent || attempt.request.state == requestWithdrawn {
-		h.attempts.sendStop(attempt, protocol.CauseEnd, false)
+		h.attempts.sendGiveUp(attempt, false)
 	}
 }
 
--- a/internal/platform/dispatch/request_table.go
+++ b/internal/platform/dispatch/request_table.go
@@ -68,10 +68,10 @@
 	return req
 }
 
-// sendFinalAnswer answers an open request whose task is not running, and removes the request. If the request
-// is in a final state, sendFinalAnswer does nothing.
+// sendFinalAnswer answers an open request, and removes the request. If the request is not open,
+// sendFinalAnswer does nothing.
 func (t *requestTable) sendFinalAnswer(req *request, answer protocol.Message) {
-	if req.state.isFinal() {
+	if req.state != requestOpen {
 		return
 	}
 	t.close(req, requestAnswered)
@@ -80,10 +80,10 @@
 	t.remove(req)
 }
 
-// withdraw ends an open request whose client no longer waits for the answer. If the request is in a final
-// state, withdraw does nothing.
+// withdraw ends an open request whose client no longer waits for the answer. If the request is not open,
+// withdraw does nothing.
 func (t *requestTable) withdraw(req *request) {
-	if req.state.isFinal() {
+	if req.state != requestOpen {
 		return
 	}
 	t.counts.Withdrawn++
--- a/internal/platform/dispatch/task.go
+++ b/internal/platform/dispatch/task.go
@@ -5,21 +5,30 @@
 	"heathshed/placer"
 )
 
-// migrationConfirmTimeout is how long a node may take to confirm that it stopped a task for a migration. If
-// the node takes longer, the task is assumed to have ended by itself.
-const migrationConfirmTimeout placer.Seconds = 0.4
+const (
+	// stopConfirmTimeout is how long a node may take to confirm that it stopped a task for a migration. It is
+	// shorter than the 8 s within which a client must learn that its task has ended: the task may have ended
+	// when the order was sent.
+	stopConfirmTimeout placer.Seconds = 6.0
+	// migratedEndTimeout is how long a node may take to report how a migrated task ended. After this time, the
+	// client is notified that the task was stopped.
+	migratedEndTimeout placer.Seconds = 0.4
+)
 
 // causeLost is the cause in a notification that a task was lost together with its node.
 const causeLost = protocol.CauseLost
 
 // taskController manages tasks from their start to their end. It changes the state of a request together with
-// the state of the attempt of the request, and notifies the client. It has no state of its own.
+// the state of the attempt of the request, and notifies the client.
 type taskController struct {
 	*sharedState
 	clients  *clientRegistry
 	requests *requestTable
 	attempts *attemptTable
+	checks   *nodeChecks
 	notifier *notifier
+
+	shuttingDown bool // shuttingDown is set when the process will end soon.
 }
 
 // handleAcceptance handles the message with which a node accepts an attempt in time: it answers the client
@@ -34,26 +43,43 @@
 	t.attempts.postAttemptBound(attempt)
 }
 
-// endTask ends a running task and notifies the client, except in two cases. In state requestStopping, the
-// client requested the stop or was already notified. In state requestMigrating, the client is not notified if
-// the node has confirmed that it stopped the task for the migration.
+// endTask ends a running task that has ended on its node, and notifies the client unless the client knows of
+// the end already.
 func (t *taskController) endTask(attempt *Attempt, outcome attemptOutcome, cause protocol.Cause) {
 	req := attempt.request
-	unconfirmedMigration := req.state == requestMigrating && cause != protocol.CauseCancelled
-	notifyClient := !req.state.isFinal() || unconfirmedMigration
 	t.attempts.remove(attempt)
 	t.counts.TasksEnded++
 	if outcome.result == placer.Lost {
 		t.counts.TasksLost++
 	}
+	state := req.state
 	t.requests.transition(req, requestTerminated)
-	if notifyClient {
-		t.notifier.notify(req, replyTo(&req.message, protocol.Stop, cause))
-	}
+	t.notifyOfEnd(req, state, cause)
 	t.attempts.postAttemptEnded(attempt, outcome)
 	t.requests.remove(req)
 }
 
+// notifyOfEnd notifies the client of the end of a task. The parameter state is the state of the request
+// before the end, and cause is the cause that the node reported.
+func (t *taskController) notifyOfEnd(req *request, state requestState, cause protocol.Cause) {
+	stoppedForMigration := cause == protocol.CauseCancelled
+	switch {
+	case state == requestMigrating && stoppedForMigration:
+		t.notifyOfMigration(req)
+	case state == requestMigrated && stoppedForMigration:
+		// The client has received the Migrate message, and the node confirms it.
+	case !state.isFinal() || state == requestMigrated:
+		// A client that has received a Migrate message ignores it if the task ended otherwise.
+		t.notifier.notify(req, replyTo(&req.message, protocol.Stop, cause))
+	}
+}
+
+// notifyOfMigration asks the client to request a new placement of a task that its node has stopped.
+func (t *taskController) notifyOfMigration(req *request) {
+	t.counts.Migrations++
+	t.notifier.notify(req, replyTo(&req.message, protocol.Migrate, noCause))
+}
+
 // endLostTask ends a running task that was lost together with its node.
 func (t *taskController) endLostTask(attempt *Attempt) {
 	t.endTask(attempt, attemptOutcome{result: placer.Lost}, causeLost)
@@ -75,30 +101,69 @@
 	t.requests.remove(req)
 }
 
-// migrateTask asks the client of a running task to request a new placement of the task, and asks the node to
-// stop the task.
+// migrateTask begins the migration of a running task. It first checks that the node can be reached: if it
+// cannot, the task keeps running and nothing has to be undone. The node is ordered to stop the task when it
+// has answered the check, and the client is asked to request the task again when the node has stopped it.
 func (t *taskController) migrateTask(req *request) {
 	attempt := req.runningAttempt()
-	if attempt == nil || req.state.isFinal() {
+	if attempt == nil || req.state != requestRunning || t.shuttingDown {
 		return
 	}
-	t.counts.Migrations++
-	t.requests.transition(req, requestMigrating)
-	t.notifier.notify(req, replyTo(&req.message, protocol.Migrate, noCause))
-	t.requestStop(attempt, protocol.CauseCancelled)
+	t.requests.transition(req, requestMigrationPlanned)
+	t.checks.request(attempt)
 }
 
-// notifyUnconfirmedMigration tells the client of a migrating task that the task has ended, unless the node
-// has confirmed that it stopped the task for the migration. The notification is needed because the task may
-// have ended by itself while the Migrate message was in transit. In that case the client ignores the Migrate
-// message.
-func (t *taskController) notifyUnconfirmedMigration(attempt *Attempt) {
+// beginShutdown ends the migrations whose stop orders were not sent yet, and prevents new ones.
+func (t *taskController) beginShutdown() { t.shuttingDown = true }
+
+// handleCheckAnswer handles the answer of a node to the check that was sent for an attempt. If the node was
+// ordered to stop the task, it has done so.
+func (t *taskController) handleCheckAnswer(attempt *Attempt) {
+	if attempt.state != attemptRunning {
+		t.attempts.remove(attempt) // The wait for the confirmation was given up before.
+		return
+	}
 	req := attempt.request
-	if attempt.state != attemptRunning || req.state != requestMigrating {
+	switch req.state {
+	case requestMigrationPlanned:
+		t.continueMigration(attempt)
+	case requestMigrating:
+		t.requests.transition(req, requestMigrated)
+		t.notifyOfMigration(req)
+		t.timers.Stop(attempt.timer)
+		t.attempts.setTimer(attempt, t.now+migratedEndTimeout, func() { t.endMigratedTask(attempt) })
+	case requestStopping:
+		t.endTask(attempt, attemptOutcome{result: placer.Cancelled}, protocol.CauseCancelled)
+	}
+}
+
+// continueMigration orders the node of a task to stop the task for a migration. It cancels the migration
+// instead if the process will end soon.
+func (t *taskController) continueMigration(attempt *Attempt) {
+	if t.shuttingDown {
+		t.requests.transition(attempt.request, requestRunning)
 		return
 	}
-	t.requests.transition(req, requestStopping)
+	t.requests.transition(attempt.request, requestMigrating)
+	t.timers.Add(t.now+stopConfirmTimeout, func() { t.giveUpMigration(attempt) })
+	t.orderStop(attempt, protocol.CauseCancelled)
+}
+
+// giveUpMigration tells the client that its task is lost, because the node has not confirmed in time that it
+// stopped the task for a migration. The task may have ended or may still run.
+func (t *taskController) giveUpMigration(attempt *Attempt) {
+	if attempt.state == attemptRunning && attempt.request.state == requestMigrating {
+		t.giveUpTask(attempt)
+	}
+}
+
+// endMigratedTask ends a migrated task whose end the node has not reported. The client is also notified of the
+// end: if the task had ended by itself before the node read the stop order, the client ignores the Migrate
+// message.
+func (t *taskController) endMigratedTask(attempt *Attempt) {
+	req := attempt.request
 	t.notifier.notify(req, replyTo(&req.message, protocol.Stop, protocol.CauseCancelled))
+	t.endTask(attempt, attemptOutcome{result: placer.Cancelled}, protocol.CauseCancelled)
 }
 
 // stopForClient stops a running task at the request of its client.
@@ -107,44 +172,50 @@
 		return
 	}
 	t.requests.transition(attempt.request, requestStopping)
-	t.requestStop(attempt, cause)
+	t.orderStop(attempt, cause)
 }
 
-// stopTasksOn implements Core.NodeUnresponsive: it stops the tasks that run on an unresponsive node. It
-// skips the tasks that the node was already asked to stop, and returns the number of the other tasks.
+// stopTasksOn implements Core.NodeUnresponsive: it gives up the tasks that run on an unresponsive node and
+// orders the node to stop them. It skips the tasks of which the clients know already that they are stopped,
+// and returns the number of the other tasks.
 func (t *taskController) stopTasksOn(node *Node) (stoppedTasks int) {
 	for _, attempt := range node.runningAttemptsByTaskID() {
-		if attempt.stopSent {
+		if attempt.request.state.isFinal() {
 			continue
 		}
 		stoppedTasks++
-		t.counts.TasksLost++
-		req := attempt.request
-		if !req.state.isFinal() {
-			t.requests.transition(req, requestStopping)
-			t.notifier.notify(req, replyTo(&req.message, protocol.Stop, causeLost))
-		}
-		t.requestStop(attempt, protocol.CauseCancelled)
+		t.giveUpTask(attempt)
 	}
 	return stoppedTasks
 }
 
-// requestStop asks the node of a running task to stop the task. The task ends when the node confirms that it
-// stopped the task, or when notificationRetention has passed.
-func (t *taskController) requestStop(attempt *Attempt, cause protocol.Cause) {
-	if !attempt.stopSent {
-		t.awaitStopConfirmation(attempt)
-	}
-	t.attempts.sendStop(attempt, cause, false)
+// giveUpTask tells the client that its task is lost, and orders the node to stop the task, which may still
+// run.
+func (t *taskController) giveUpTask(attempt *Attempt) {
+	req := attempt.request
+	t.counts.TasksLost++
+	t.requests.transition(req, requestStopping)
+	t.notifier.notify(req, replyTo(&req.message, protocol.Stop, causeLost))
+	t.orderStop(attempt, protocol.CauseCancelled)
 }
 
-// awaitStopConfirmation sets the timers that limit how long the core waits for a node to confirm that it
-// stopped a running task.
-func (t *taskController) awaitStopConfirmation(attempt *Attempt) {
-	if attempt.request.state == requestMigrating {
-		t.timers.Add(t.now+migrationConfirmTimeout, func() { t.notifyUnconfirmedMigration(attempt) })
+// orderStop orders the node of a running task to stop the task, unless the node has the order already. The
+// task ends when the node has confirmed that it stopped the task, or when notificationRetention has passed.
+func (t *taskController) orderStop(attempt *Attempt, cause protocol.Cause) {
+	if attempt.stopOrdered {
+		return
 	}
-	t.attempts.setTimer(attempt, t.now+notificationRetention, func() {
-		t.endTask(attempt, attemptOutcome{result: placer.Cancelled}, protocol.CauseCancelled)
-	})
+	t.attempts.setTimer(attempt, t.now+notificationRetention, func() { t.endUnconfirmedTask(attempt) })
+	t.attempts.orderStop(attempt, cause)
+}
+
+// endUnconfirmedTask ends a task whose node has not confirmed in time that it stopped the task. The client was
+// notified before. The order is kept for the time when the node can be reached again.
+func (t *taskController) endUnconfirmedTask(attempt *Attempt) {
+	req := attempt.request
+	t.counts.TasksEnded++
+	t.attempts.abandonRunning(attempt)
+	t.requests.transition(req, requestTerminated)
+	t.attempts.postAttemptEnded(attempt, attemptOutcome{result: placer.Cancelled})
+	t.requests.remove(req)
 }
--- a/internal/platform/server/node_conn.go
+++ b/internal/platform/server/node_conn.go
@@ -52,6 +52,7 @@
 	establishedAt clock.Instant
 	attempts      map[*dispatch.Attempt]struct{} // attempts contains the unanswered attempts that were sent on the connection.
 	keepAlive     connpool.ConnState
+	checks        checkQueue
 	message       protocol.Message
 }
 
@@ -91,6 +92,35 @@
 	}
 }
 
+// requestCheck sends a check that the dispatch core has requested. If an earlier one is unanswered, the check
+// is sent after the answer.
+func (nc *nodeConn) requestCheck(check requestedCheck) {
+	if nc.checks.add(check) {
+		nc.sendRequestedChecks()
+	}
+}
+
+func (nc *nodeConn) sendRequestedChecks() {
+	message := nc.checks.nextMessage()
+	nc.write(&message)
+}
+
+// handleChecked handles the answer to a health check or to a check that the dispatch core has requested.
+func (nc *nodeConn) handleChecked(id protocol.ID) {
+	if id == healthCheck.ID {
+		nc.keepAlive.HealthCheckSent = 0
+		return
+	}
+	s := nc.link.server
+	answered := nc.checks.takeAnswered(id)
+	if len(nc.checks.requested) > 0 && len(answered) > 0 {
+		nc.sendRequestedChecks()
+	}
+	for _, check := range answered {
+		s.core.CheckAnswered(s.coreNow(), check.attempt, check.number)
+	}
+}
+
 // Opened implements eventloop.Handler. The event loop calls it when the dial to the node has succeeded.
 func (nc *nodeConn) Opened(*eventloop.Conn) {
 	now := nc.link.server.loop.Now()
@@ -135,7 +165,7 @@
 	}
 	s.traceMessage("node>", uint64(nc.id), nc.conn.Peer(), &nc.message)
 	if kind == protocol.Checked {
-		nc.keepAlive.HealthCheckSent = 0
+		nc.handleChecked(nc.message.ID)
 		return countsTowardsLineLimit, nil
 	}
 	s.core.ReceiveFromNode(s.coreNow(), nc.link.id, &nc.message)
--- a/internal/platform/server/node_link.go
+++ b/internal/platform/server/node_link.go
@@ -17,29 +17,23 @@
 	"heathshed/placer"
 )
 
-// maxPendingBytes limits the total size of the encoded messages that wait for a connection to one node. Once
-// these messages have reached this size, further messages to the node are discarded.
-const maxPendingBytes = 64 << 10
-
-// nodeLink manages the connections to one node, and the attempts and messages that wait for a connection to
-// the node. A link is identified by the ID of its node and not by the address, because another node may later
+// nodeLink manages the connections to one node, and the attempts that wait for a connection to the node. A link is identified by the ID of its node and not by the address, because another node may later
 // use the same address.
 type nodeLink struct {
-	server          *Server
-	id              placer.NodeID
-	addr            string
-	conns           []*nodeConn         // conns contains the established connections to the node.
-	dialingConn     *nodeConn           // dialingConn is the connection to the node that is being dialed, or nil if there is none.
-	queuedAttempts  []*dispatch.Attempt // queuedAttempts contains the attempts that wait for the dial to succeed.
-	pendingMessages []byte              // pendingMessages contains encoded messages that wait for a connection to the node.
-	backoff         retry.Backoff
-	retryAt         clock.Instant // retryAt is the earliest time of the next dial after a failed dial.
-	disconnectedAt  clock.Instant // disconnectedAt is when a connection to the node last ended, or zero if none has ended.
-	reachability    connpool.Reachability
-	hasTasks        bool // hasTasks states whether the node ran tasks at the last call of maintain.
+	server         *Server
+	id             placer.NodeID
+	addr           string
+	conns          []*nodeConn         // conns contains the established connections to the node.
+	dialingConn    *nodeConn           // dialingConn is the connection to the node that is being dialed, or nil if there is none.
+	queuedAttempts []*dispatch.Attempt // queuedAttempts contains the attempts that wait for the dial to succeed.
+	backoff        retry.Backoff
+	retryAt        clock.Instant // retryAt is the earliest time of the next dial after a failed dial.
+	disconnectedAt clock.Instant // disconnectedAt is when a connection to the node last ended, or zero if none has ended.
+	reachability   connpool.Reachability
+	hasTasks       bool // hasTasks states whether the node ran tasks at the last call of maintain.
 	// needsConn states whether the last call of maintain decided that the node must be dialed. A node must be
-	// dialed if no connection to it is established although running tasks or pending messages require one, and
-	// if checkReachability allows a dial.
+	// dialed if no connection to it is established although running tasks or unanswered checks require one,
+	// and if checkReachability allows a dial.
 	needsConn bool
 }
 
@@ -64,26 +58,15 @@
 	link.dial()
 }
 
-// sendMessage sends the message of an effect to the node. It uses the connection on which the attempt of the
-// effect was sent. If that connection has ended, it uses another established connection to the node. If none
-// is established, the message is sent once a dial succeeds.
+// sendMessage sends the message of an effect to the node, if a connection to the node is established.
 func (link *nodeLink) sendMessage(effect *dispatch.Effect) {
-	nc := link.connByID(effect.Attempt.NodeConn)
-	if nc != nil {
-		delete(nc.attempts, effect.Attempt)
-	}
-	connSuspected := nc != nil && effect.TimedOut
-	if nc == nil {
-		nc = link.anyConn()
-	}
+	nc := link.connFor(effect.Attempt)
 	if nc == nil {
-		if len(link.pendingMessages) < maxPendingBytes {
-			link.pendingMessages = effect.Message.Append(link.pendingMessages)
-		}
 		return
 	}
+	delete(nc.attempts, effect.Attempt)
 	nc.write(&effect.Message)
-	if connSuspected {
+	if effect.TimedOut && nc.id == effect.Attempt.NodeConn {
 		// The attempt timed out because the node is slow or because the connection is broken. A health check
 		// distinguishes these cases. Until the node answers it, no attempt is sent on the connection.
 		link.server.stats.NodeConnsSuspected++
@@ -91,6 +74,33 @@
 	}
 }
 
+// sendCheck sends the message of an effect, if it has one, and then a check to the node. If no connection to
+// the node is established, it sends nothing: the dispatch core repeats the effect when one is.
+func (link *nodeLink) sendCheck(effect *dispatch.Effect) {
+	nc := link.connFor(effect.Attempt)
+	if nc == nil || !nc.keepAlive.Usable() {
+		nc = link.anyConn()
+	}
+	if nc == nil {
+		link.server.log.Trace().Str("uid", effect.Attempt.Message.UID).Str("addr", link.addr).Msg("check waits for a connection to the node")
+		return
+	}
+	if effect.Kind == dispatch.StopTask {
+		nc.write(&effect.Message)
+	}
+	nc.requestCheck(requestedCheck{effect.Attempt, effect.Check})
+}
+
+// connFor returns the connection on which messages about an attempt are sent: the connection on which the
+// attempt was sent, or, if that connection has ended, another established connection to the node. It returns
+// nil if no connection is established.
+func (link *nodeLink) connFor(attempt *dispatch.Attempt) *nodeConn {
+	if nc := link.connByID(attempt.NodeConn); nc != nil {
+		return nc
+	}
+	return link.anyConn()
+}
+
 // connByID returns the established connection with the given ID, or nil if there is none.
 func (link *nodeLink) connByID(id dispatch.NodeConnID) *nodeConn {
 	for _, nc := range link.conns {
@@ -149,8 +159,8 @@
 	s.nodes.takeSlot()
 }
 
-// connEstablished adds a connection that was just established. It sends the pending messages and schedules
-// the queued attempts.
+// connEstablished adds a connection that was just established. It tells the dispatch core, which repeats the
+// unanswered checks, and schedules the queued attempts.
 func (link *nodeLink) connEstablished(nc *nodeConn) {
 	s := link.server
 	link.reachability.Received(s.loop.Now())
@@ -159,10 +169,7 @@
 	}
 	link.backoff.Reset()
 	link.conns = append(link.conns, nc)
-	if len(link.pendingMessages) > 0 {
-		nc.conn.Write(link.pendingMessages)
-		link.pendingMessages = nil
-	}
+	s.core.RepeatChecks(s.coreNow(), link.id)
 	attempts := link.queuedAttempts
 	link.queuedAttempts = nil
 	for _, attempt := range attempts {
@@ -188,7 +195,8 @@
 	s.applyReadyEffects()
 }
 
-// connClosed removes an established connection that has ended.
+// connClosed removes an established connection that has ended. Checks that the node has not answered on it
+// are sent again on another connection.
 func (link *nodeLink) connClosed(nc *nodeConn, err error) {
 	s := link.server
 	if i := slices.Index(link.conns, nc); i >= 0 {
@@ -198,6 +206,10 @@
 	if !errors.Is(err, eventloop.ErrClosedLocally) {
 		s.stats.NodeConnsLost++
 	}
+	if len(link.conns) > 0 {
+		s.core.RepeatChecks(s.coreNow(), link.id)
+		s.applyReadyEffects()
+	}
 }
 
 // maintain closes idle and unresponsive connections to the node, and decides whether the node must be dialed.
@@ -243,9 +255,9 @@
 }
 
 // lacksRequiredConn reports whether no connection to the node is established although the node runs tasks or
-// messages to it are pending.
+// has not answered a check.
 func (link *nodeLink) lacksRequiredConn() bool {
-	return (link.hasTasks || len(link.pendingMessages) > 0) && len(link.conns) == 0
+	return (link.hasTasks || link.server.core.AwaitsCheckAnswer(link.id)) && len(link.conns) == 0
 }
 
 // checkReachability notifies the dispatch core if the node is unreachable. It returns whether the node may be
@@ -261,7 +273,6 @@
 		s.stats.NodesUnreachable++
 		s.log.Warn().Str("node", node.UID).Int("tasks", node.RunningTasks()).Msg("node declared dead: it refuses connections")
 		s.core.NodeDead(s.coreNow(), link.id)
-		link.pendingMessages = nil
 		return false
 	case connpool.Unresponsive:
 		if tasks := s.core.NodeUnresponsive(s.coreNow(), link.id); tasks > 0 {
--- a/internal/platform/server/server.go
+++ b/internal/platform/server/server.go
@@ -143,6 +143,8 @@
 		s.attemptSender.schedule(effect.Attempt)
 	case dispatch.SendToNode:
 		s.nodes.linkTo(effect.Attempt.Node).sendMessage(effect)
+	case dispatch.StopTask, dispatch.CheckNode:
+		s.nodes.linkTo(effect.Attempt.Node).sendCheck(effect)
 	case dispatch.ConnectNode:
 		s.nodes.linkTo(effect.Attempt.Node)
 	case dispatch.NodesChanged:
--- a/internal/platform/server/shutdown.go
+++ b/internal/platform/server/shutdown.go
@@ -50,6 +50,7 @@
 	s := stop.server
 	stop.requested = true
 	stop.requestedAt = s.loop.Now()
+	s.core.BeginShutdown(s.coreNow())
 	s.log.Info().
 		Int("open_requests", s.core.OpenRequests()).
 		Int("running_tasks", s.core.RunningTasks()).
