The order to stop a lost task is withdrawn when its client has the task adopted

What callers see: a node is cut off for over 6 s, and the client of a task there is told that it is lost. The order to stop the task under its old id is still to be sent, so the task ends as soon as the node is back, and the placer counts it twice until then.

Cause: adoption.adopt looked only for an attempt under the same id.

Change: an adoption withdraws the unconfirmed orders to that node for the same task key, and ends the old request. Where the order is already with the node, its end is reported under the id that the node knows.

Test: TestAdoptionWithdrawsStopOrder, two cases, fails without the change.

--- a/internal/platform/dispatch/adoption.go
+++ b/internal/platform/dispatch/adoption.go
@@ -24,6 +24,7 @@
 	attempts          *attemptTable
 	earlyTerminations *earlyTerminationLog
 	notifier          *notifier
+	tasks             *taskController
 
 	firstHealthCheckAt placer.Seconds // firstHealthCheckAt is 0 until a client has sent a health check.
 	// lastAdoptionRequestAt is the arrival time of the last adoption request. Before the first adoption
@@ -53,6 +54,7 @@
 	if abandonedAttempt := a.attempts.get(key); abandonedAttempt != nil {
 		a.attempts.remove(abandonedAttempt) // The scheduler abandoned this attempt before the node accepted it.
 	}
+	a.tasks.withdrawStopOrders(node.ID, msg.Get(protocol.Key))
 	if termination, isRecorded := a.earlyTerminations.get(key); isRecorded {
 		// The node has already reported the end of the task and does not repeat the report. The client still
 		// requests the adoption because it has not been notified of the end.
--- a/internal/platform/dispatch/core.go
+++ b/internal/platform/dispatch/core.go
@@ -102,6 +102,7 @@
 			attempts:          c.attempts,
 			earlyTerminations: earlyTerminations,
 			notifier:          c.notifier,
+			tasks:             c.tasks,
 		},
 	}
 	c.nodeMessages = &nodeMessageHandler{sharedState: shared, attempts: c.attempts, tasks: c.tasks, earlyTerminations: earlyTerminations}
--- a/internal/platform/dispatch/migration_test.go
+++ b/internal/platform/dispatch/migration_test.go
@@ -130,3 +130,30 @@
 		t.Errorf("the core counts %d running tasks after the answer to the check behind the stop order, want 0", harness.core.RunningTasks())
 	}
 }
+
+// TestAdoptionWithdrawsStopOrder guards against a task that ends after its hand-over: a client that was told
+// that its task is lost finds it running, and has it adopted under a new ID. The order to stop the task, which
+// the node has not confirmed, must not be sent any more, and the placer must not count the task twice.
+func TestAdoptionWithdrawsStopOrder(t *testing.T) {
+	for name, silence := range map[string]placer.Seconds{"node was silent for a short time": 1, "order was given up": notificationRetention + 1} {
+		t.Run(name, func(t *testing.T) {
+			harness, _, attempt := runningAttempt(t, "seats")
+			harness.core.NodeUnresponsive(harness.now, attempt.Node)
+			harness.carryOutEffects()
+			harness.advanceClock(silence)
+			msg := launchMessage(99)
+			msg.Set(protocol.Key, attempt.Message.Get(protocol.Key))
+			msg.Set(protocol.Extras, "cores:1;memory:1"+adoptionExtras(1))
+			msg.Set(protocol.TimeLeft, strconv.Itoa(longRunningMS))
+			harness.receiveFromClient(attempt.ClientConn(), msg)
+			harness.core.Ready()
+
+			harness.core.RepeatChecks(harness.now, attempt.Node)
+
+			if effects := harness.core.Ready(); asksNodeToStop(effects) || harness.core.RunningTasks() != 1 {
+				t.Errorf("on the next connection, got effects %+v and %d running tasks; want no order to stop the adopted task, and 1 running task", effects, harness.core.RunningTasks())
+			}
+			harness.requireInvariants()
+		})
+	}
+}
--- a/internal/platform/dispatch/task.go
+++ b/internal/platform/dispatch/task.go
@@ -209,6 +209,22 @@
 	t.attempts.orderStop(attempt, cause)
 }
 
+// withdrawStopOrders withdraws the unconfirmed orders to a node to stop the task with the given key. The
+// client was told that the task is lost, has found it running on the node, and requests its adoption.
+func (t *taskController) withdrawStopOrders(node placer.NodeID, taskKey string) {
+	for _, attempt := range t.checks.attemptsAt(node) {
+		if attempt.request.message.Get(protocol.Key) != taskKey {
+			continue
+		}
+		switch {
+		case attempt.state == attemptAbandoned:
+			t.attempts.remove(attempt)
+		case attempt.request.state == requestStopping:
+			t.endTask(attempt, attemptOutcome{result: placer.Cancelled}, protocol.CauseCancelled)
+		}
+	}
+}
+
 // endUnconfirmedTask ends a task whose node has not confirmed in time that it stopped the task. The client was
 // notified before. The order is kept for the time when the node can be reached again.
 func (t *taskController) endUnconfirmedTask(attempt *Attempt) {
