The end of a migrated task is sent again once, and random orders include migrations

What callers see: a client gets `migrate` and then `stop` for a task, its connection closes within a second, and on the next connection it gets two `stop` for the task: both notifications are sent again, the first one as a `stop`.

Cause: deliveryLog.add kept the Migrate message beside the Stop message that says all that the client needs.

Change: the later notification replaces the Migrate message.

Tests: TestStopReplacesMigrate fails without the change. TestRandomEventOrders migrates tasks, loses orders, answers and connections, and judges by what the nodes run that nobody is asked to request a running task again. The harness allows one Stop message after a Migrate message, which docs/platform.md states ("Orders to nodes"), and knows that clients do not acknowledge the latter.

--- a/internal/platform/dispatch/harness_test.go
+++ b/internal/platform/dispatch/harness_test.go
@@ -27,6 +27,9 @@
 	pendingAttempts []*Attempt // These attempts wait for a connection to their node.
 	sentAttempts    []*Attempt // These attempts were sent, and some of them have ended.
 	runningAttempts []*Attempt // endAllTasks makes nodes report that these attempts have ended.
+	checks          []Effect   // checks contains the effects StopTask and CheckNode that no node has read.
+	// running says which nodes run which tasks of class "seats". Only what the nodes did changes it.
+	running map[attemptKey]bool
 }
 
 // clientRecord records what the client of one task sent and received.
@@ -41,6 +44,8 @@
 	withdrawn, adoptionRequested   bool
 	answerCount, notificationCount int
 	knowsTaskRuns                  bool // The client knows that the task runs.
+	acknowledges                   bool // The last notification is one that clients acknowledge.
+	stopMayFollow                  bool // The client was asked to request the task again, and not told of its end yet.
 }
 
 // newHarness returns a harness for a core whose node registry contains the nodes 1 to 3. If the given policy
@@ -55,7 +60,7 @@
 			t.Fatal(err)
 		}
 	}
-	harness := &coreHarness{t: t, now: 1000, lastEventNumber: 1, clientRecords: map[protocol.ID]*clientRecord{}}
+	harness := &coreHarness{t: t, now: 1000, lastEventNumber: 1, clientRecords: map[protocol.ID]*clientRecord{}, running: map[attemptKey]bool{}}
 	list := discoveryEventJSON(1, true, nodeJSON(1, "in_service", 0), nodeJSON(2, "in_service", 0), nodeJSON(3, "in_service", 0))
 	initialEvents := `{"no":1,"items":[` + list + `]}`
 	if harness.core, err = New(harness.now, settings, policy, []byte(initialEvents)); err != nil {
@@ -141,12 +146,18 @@
 }
 
 func (harness *coreHarness) receiveFromNode(attempt *Attempt, msg protocol.Message) []Effect {
+	if msg.Kind == protocol.Stop {
+		delete(harness.running, attemptKey{attempt.Node, msg.ID})
+	}
 	harness.core.ReceiveFromNode(harness.now, attempt.Node, &msg)
 	return harness.carryOutEffects()
 }
 
 // acceptAttempt makes a node accept an attempt that was sent to the node, and returns the effects.
 func (harness *coreHarness) acceptAttempt(attempt *Attempt) []Effect {
+	if attempt.Message.Get(protocol.Class) == "seats" && attempt.Unanswered() {
+		harness.running[attempt.key()] = true
+	}
 	return harness.receiveFromNode(attempt, runningMessage(attempt.Message.ID))
 }
 
@@ -161,9 +172,12 @@
 	harness.core.execute(&placer.Action{Kind: placer.Migrate, Task: attempt.request.taskID})
 }
 
-// answerCheck makes the node of an attempt answer the last check that was sent for the attempt. It does not
-// call carryOutEffects.
+// answerCheck makes the node of an attempt answer the last check that was sent for the attempt, after it has
+// read the order to stop the task, if there is one. It does not call carryOutEffects.
 func (harness *coreHarness) answerCheck(attempt *Attempt) {
+	if attempt.stopOrdered {
+		delete(harness.running, attempt.key())
+	}
 	harness.core.CheckAnswered(harness.now, attempt, attempt.awaitedCheck)
 }
 
@@ -180,6 +194,8 @@
 			harness.pendingAttempts = append(harness.pendingAttempts, effect.Attempt)
 		case SendToClient:
 			harness.receiveAsClient(effect.Conn, effect.Message)
+		case StopTask, CheckNode:
+			harness.checks = append(harness.checks, effect)
 		}
 	}
 	return effects
@@ -202,13 +218,7 @@
 		}
 		record.knowsTaskRuns = true
 	case record.knowsTaskRuns:
-		record.notificationCount++
-		// A second notification is allowed only if the connection of the first notification closed before the
-		// client acknowledged the first notification.
-		if record.notificationCount > 1 && (record.lastNotificationConn == 0 || harness.core.clients.get(record.lastNotificationConn) != nil) {
-			harness.t.Fatalf("client received message %v as a second notification of the end of its task; want no second notification, unless the connection of the first one closed before the client acknowledged it", msg)
-		}
-		record.lastNotificationConn = connID
+		harness.receiveNotification(record, connID, msg)
 	default:
 		record.answerCount++
 		if record.withdrawn || harness.now > record.deadline+0.011 {
@@ -220,11 +230,41 @@
 	}
 }
 
+// receiveNotification records a notification about a running task, and checks it. A second notification is
+// allowed only if the connection of the first notification closed before the client acknowledged the first
+// notification. One Stop message may follow a Migrate message, in case the client ignores the Migrate message.
+func (harness *coreHarness) receiveNotification(record *clientRecord, connID ConnID, msg protocol.Message) {
+	record.notificationCount++
+	lastMayBeLost := record.lastNotificationConn != 0 && harness.core.clients.get(record.lastNotificationConn) == nil
+	isRepeated := record.notificationCount > 1 && !lastMayBeLost
+	switch {
+	case isRepeated && record.stopMayFollow && msg.Kind == protocol.Stop:
+		record.stopMayFollow = false
+	case isRepeated:
+		harness.t.Fatalf("client received message %v as a second notification of the end of its task; want no second notification, unless the connection of the first one closed before the client acknowledged it", msg)
+	case msg.Kind == protocol.Migrate:
+		harness.requireNotRunning(msg.ID)
+		record.stopMayFollow = true
+	}
+	record.lastNotificationConn = connID
+	record.acknowledges = msg.Kind != protocol.Migrate
+}
+
+// requireNotRunning fails the test if any node runs the task with the given ID.
+func (harness *coreHarness) requireNotRunning(id protocol.ID) {
+	for key := range harness.running {
+		if key.id == id {
+			harness.t.Fatalf("client was asked to request task %x again while node %x runs it, want no node to run it", uint64(id), key.node)
+		}
+	}
+}
+
 // acknowledgeNotification makes the client of a task acknowledge the last notification about that task. It
-// does nothing if there is no such notification or if the connection of the notification is closed.
+// does nothing if there is no such notification, if the connection of the notification is closed, or if the
+// notification is a Migrate message, which clients never acknowledge.
 func (harness *coreHarness) acknowledgeNotification(id protocol.ID) {
 	record := harness.clientRecords[id]
-	if record.lastNotificationConn == 0 || harness.core.clients.get(record.lastNotificationConn) == nil {
+	if !record.acknowledges || record.lastNotificationConn == 0 || harness.core.clients.get(record.lastNotificationConn) == nil {
 		return
 	}
 	harness.receiveFromClient(record.lastNotificationConn, newMessage(protocol.Stopped, id, noCause))
--- a/internal/platform/dispatch/notification.go
+++ b/internal/platform/dispatch/notification.go
@@ -51,7 +51,8 @@
 	clientAcknowledges bool
 }
 
-// add adds a notification that was sent, and removes the notifications that have expired.
+// add adds a notification that was sent, and removes the notifications that have expired. A notification of
+// the end of a task replaces an earlier Migrate message about the task: it says all that the client needs.
 func (l *deliveryLog) add(now placer.Seconds, notice notification) {
 	if notice.message.Kind == protocol.Migrate {
 		// A Migrate message is redelivered as a Stop message that reports the end of the task. A client that
@@ -59,7 +60,10 @@
 		notice.message = replyTo(&notice.message, protocol.Stop, protocol.CauseCancelled)
 		notice.sentAsMigration = true
 	}
-	l.unacknowledgedNotifications = slices.DeleteFunc(l.unacknowledgedNotifications, func(entry notification) bool { return entry.expiresAt <= now })
+	l.unacknowledgedNotifications = slices.DeleteFunc(l.unacknowledgedNotifications, func(entry notification) bool {
+		isReplaced := entry.sentAsMigration && entry.message.ID == notice.message.ID
+		return isReplaced || entry.expiresAt <= now
+	})
 	l.unacknowledgedNotifications = append(l.unacknowledgedNotifications, notice)
 }
 
--- a/internal/platform/dispatch/notification_test.go
+++ b/internal/platform/dispatch/notification_test.go
@@ -117,3 +117,23 @@
 		})
 	}
 }
+
+// TestStopReplacesMigrate guards against two notifications of one end: when a connection closes after a
+// Migrate message and the Stop message that follows it, only the Stop message is sent again.
+func TestStopReplacesMigrate(t *testing.T) {
+	harness, _, attempt := runningAttempt(t, "seats")
+	harness.migrateTask(attempt)
+	harness.answerCheck(attempt)
+	harness.answerCheck(attempt)
+	harness.reportEnd(attempt.Node, attempt.Message.ID, protocol.CauseEnd)
+	otherConn := harness.connect()
+	harness.receiveFromClient(otherConn, newMessage(protocol.Check, 77, 0))
+	harness.core.Ready()
+
+	harness.core.ClientDisconnected(harness.now, attempt.ClientConn())
+
+	effects := messagesToClients(harness.core.Ready())
+	if len(effects) != 1 || effects[0].Conn != otherConn || effects[0].Message.Cause != protocol.CauseEnd {
+		t.Errorf("got effects %+v after the client connection closed, want one Stop message with cause 16 on the other connection", effects)
+	}
+}
--- a/internal/platform/dispatch/random_test.go
+++ b/internal/platform/dispatch/random_test.go
@@ -14,7 +14,7 @@
 // TestRandomEventOrders passes messages of clients and nodes, and events of connections and of discovery, to
 // a core in random order. Each request must be answered once and in time unless its client withdrew it, and
 // at most one attempt of a request may be live. A client must be notified once of the end of its running
-// task. After all tasks have ended, the core must contain no request and no attempt.
+// task, and must not be asked to request a task again that a node runs. After all tasks have ended, the core must contain no request and no attempt.
 func TestRandomEventOrders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		driver := &randomDriver{newHarness(t, nil), t}
@@ -39,7 +39,7 @@
 }
 
 func (driver *randomDriver) makeRandomStep() {
-	switch driver.draw(16, "kind of step") {
+	switch driver.draw(20, "kind of step") {
 	case 0, 1, 2:
 		driver.launchRandomTask()
 	case 3, 4, 5:
@@ -67,6 +67,10 @@
 		}
 	case 14:
 		driver.requestAdoptionOfEndingTask()
+	case 15, 16:
+		driver.migrateRandomTask()
+	case 17, 18:
+		driver.readRandomCheck()
 	default:
 		driver.advanceClock(placer.Seconds(driver.draw(2000, "milliseconds")) / 1000)
 	}
@@ -113,6 +117,50 @@
 	}
 }
 
+// migrateRandomTask executes a Migrate action of the placer for a random running task.
+func (driver *randomDriver) migrateRandomTask() {
+	if len(driver.runningAttempts) > 0 {
+		driver.migrateTask(driver.runningAttempts[driver.draw(len(driver.runningAttempts), "running attempt")])
+		driver.carryOutEffects()
+	}
+}
+
+// readRandomCheck makes the node of a random check read all messages up to this check, or lose them. The
+// connection may break before the node's answer arrives; the checks are then repeated.
+func (driver *randomDriver) readRandomCheck() {
+	if len(driver.checks) == 0 {
+		return
+	}
+	last := driver.draw(len(driver.checks), "check")
+	node := driver.checks[last].Attempt.Node
+	lost, answered := driver.draw(3, "messages are lost") == 0, driver.draw(3, "answers arrive") > 0
+	var unread, read []Effect
+	for i, effect := range driver.checks {
+		if i > last || effect.Attempt.Node != node {
+			unread = append(unread, effect)
+			continue
+		}
+		read = append(read, effect)
+	}
+	driver.checks = unread
+	for _, effect := range read {
+		if lost {
+			continue
+		}
+		if effect.Kind == StopTask {
+			delete(driver.running, effect.Attempt.key())
+		}
+		if answered {
+			driver.core.CheckAnswered(driver.now, effect.Attempt, effect.Check)
+			driver.carryOutEffects()
+		}
+	}
+	if lost || !answered {
+		driver.core.RepeatChecks(driver.now, node)
+		driver.carryOutEffects()
+	}
+}
+
 func (driver *randomDriver) withdrawRandomRequest() {
 	if driver.lastID == 0 {
 		return
