No task is stopped for a restart while the scheduler of the Kubernetes API stops

What callers see: during a graceful shutdown the placer migrates a task, or a client evicts its Pod. The node stops the task and nothing runs in its place, because the Job of a stopping scheduler starts no task (jobStarter.mayRerun).

Cause: taskLifecycle.migrate and podController.evict did not ask whether Engine.Stop was called. Found while looking for orders taken for their effect on the paths of the shutdown.

Change: a migration decided after Engine.Stop is not carried out; an eviction of a running task then returns ErrStopping, which the API gives as status 503, as for a new Job.

--- a/internal/kube/engine/calls.go
+++ b/internal/kube/engine/calls.go
@@ -32,7 +32,7 @@
 
 // EvictPod stops the task of a running Pod, and the Job then starts a new task in its place. If the Pod is
 // not running, EvictPod deletes the Pod. If uid is not empty, it must match the stored Pod. The possible
-// errors are ErrNotFound and ErrConflict.
+// errors are ErrNotFound, ErrConflict and ErrStopping.
 func (e *Engine) EvictPod(now placer.Seconds, namespace, name string, uid types.UID) error {
 	e.beginCall(now)
 	defer e.endCall()
--- a/internal/kube/engine/errors.go
+++ b/internal/kube/engine/errors.go
@@ -21,7 +21,8 @@
 	// ErrTooMany means that a new Job would exceed the limit on stored objects. The client may create the Job
 	// later, when fewer objects are stored.
 	ErrTooMany = errors.New("too many tasks are stored; try again later")
-	// ErrStopping means that Engine.Stop was called and that the engine accepts no new Jobs.
+	// ErrStopping means that Engine.Stop was called and that the engine accepts no new Jobs and starts no task
+	// in place of an evicted one.
 	ErrStopping = errors.New("the scheduler stops and takes no new tasks")
 )
 
--- a/internal/kube/engine/pod_controller.go
+++ b/internal/kube/engine/pod_controller.go
@@ -8,6 +8,7 @@
 // podController deletes and evicts Pods for API clients and for the Job controller. It has no state of its
 // own.
 type podController struct {
+	*environment
 	tasks         *taskTable
 	lifecycle     *taskLifecycle
 	jobs          *jobTable
@@ -40,7 +41,8 @@
 }
 
 // evict implements Engine.EvictPod. It stops the running task of a Pod, and the Job of the task then
-// starts a new task in its place. If the task of the Pod is not running, evict deletes the Pod.
+// starts a new task in its place. If the task of the Pod is not running, evict deletes the Pod. After
+// Engine.Stop, evict returns ErrStopping for a running task, because no Job starts a new task.
 func (c *podController) evict(namespace, name string, uid types.UID) error {
 	pod, err := c.find(namespace, name, uid, "")
 	if err != nil {
@@ -51,6 +53,9 @@
 		c.delete(pod, stopEvicted)
 		return nil
 	}
+	if c.stopping {
+		return ErrStopping
+	}
 	c.lifecycle.stopForRestart(task, stopEvicted)
 	return nil
 }
--- a/internal/kube/engine/task_stop.go
+++ b/internal/kube/engine/task_stop.go
@@ -74,10 +74,10 @@
 }
 
 // migrate stops a running task that the placer has decided to move to another node. The Job of the task
-// then starts a new task in its place.
+// then starts a new task in its place. After Engine.Stop, migrate does nothing, because no Job starts a task.
 func (l *taskLifecycle) migrate(id placer.TaskID) {
 	request := l.requests.get(id)
-	if request == nil {
+	if request == nil || l.stopping {
 		return
 	}
 	task := request.task
--- a/internal/kube/engine/wiring.go
+++ b/internal/kube/engine/wiring.go
@@ -92,6 +92,7 @@
 		publisher:     e.publisher,
 	}
 	*e.podController = podController{
+		environment:   e.environment,
 		tasks:         e.tasks,
 		lifecycle:     e.lifecycle,
 		jobs:          e.jobs,
