A notification that is sent late is sent again when its connection ends at once

Cause: needsRedelivery computed the time of sending as the time of expiry less the retention, which is when the notification was made. Whatever had waited for a second, or was sent again once, counted as received. Whether clients acknowledge was known for each connection anew.

Change: the time of sending is recorded with each sending, and one acknowledgement of any client tells that clients acknowledge.

Why this works: what counts is how long the notification was on the connection that ended.

--- a/internal/platform/dispatch/notification.go
+++ b/internal/platform/dispatch/notification.go
@@ -24,6 +24,7 @@
 type notification struct {
 	message   protocol.Message
 	expiresAt placer.Seconds
+	sentAt    placer.Seconds // sentAt is the time at which the notification was sent on its present connection.
 	// sentAsMigration is set if the notification was sent as a Migrate message. Clients never acknowledge
 	// Migrate messages.
 	sentAsMigration bool
@@ -31,24 +32,21 @@
 
 // needsRedelivery reports whether the notification has to be sent again, because the client may not have
 // received it before the client connection closed. The parameter now is the time at which the connection
-// closed. The parameter clientAcknowledges is set if the client acknowledges notifications.
-func (n *notification) needsRedelivery(now placer.Seconds, clientAcknowledges bool) bool {
+// closed. The parameter clientsAcknowledge is set if clients acknowledge notifications.
+func (n *notification) needsRedelivery(now placer.Seconds, clientsAcknowledge bool) bool {
 	if n.expiresAt <= now {
 		return false
 	}
-	if clientAcknowledges && !n.sentAsMigration {
+	if clientsAcknowledge && !n.sentAsMigration {
 		return true
 	}
-	sentAt := n.expiresAt - notificationRetention
-	return now-sentAt < unacknowledgedWindow
+	return now-n.sentAt < unacknowledgedWindow
 }
 
 // deliveryLog contains the notifications that were sent on one client connection. The protocol does not
 // require clients to acknowledge notifications.
 type deliveryLog struct {
 	unacknowledgedNotifications []notification // The client has not acknowledged these notifications.
-	// clientAcknowledges is set if the client has acknowledged at least one notification.
-	clientAcknowledges bool
 }
 
 // add adds a notification that was sent, and removes the notifications that have expired. A notification of
@@ -70,7 +68,6 @@
 // acknowledge removes the notifications about the end of the task with the given ID, after the client has
 // acknowledged the end of that task.
 func (l *deliveryLog) acknowledge(id protocol.ID) {
-	l.clientAcknowledges = true
 	l.unacknowledgedNotifications = slices.DeleteFunc(l.unacknowledgedNotifications, func(entry notification) bool {
 		return entry.message.ID == id && !entry.sentAsMigration
 	})
@@ -82,6 +79,9 @@
 	*sharedState
 	clients              *clientRegistry
 	pendingNotifications []notification // These notifications wait for a client connection, the oldest first.
+	// clientsAcknowledge is set if any client has acknowledged a notification. Whether clients do so is a
+	// property of the clients of a platform, and a new connection does not show it before it is needed.
+	clientsAcknowledge bool
 }
 
 // newNotification returns a notification that expires after notificationRetention.
@@ -116,13 +116,17 @@
 // send sends a notification on a client connection. It also adds the notification to the deliveryLog of the
 // connection, so that the notification can be sent again.
 func (n *notifier) send(conn *clientConn, notice notification) {
+	notice.sentAt = n.now
 	n.clients.send(conn.id, notice.message)
 	conn.notifications.add(n.now, notice)
 }
 
 // acknowledge handles a Stopped message. A client sends a Stopped message to acknowledge the notification that
 // its task has ended.
-func (n *notifier) acknowledge(conn *clientConn, id protocol.ID) { conn.notifications.acknowledge(id) }
+func (n *notifier) acknowledge(conn *clientConn, id protocol.ID) {
+	n.clientsAcknowledge = true
+	conn.notifications.acknowledge(id)
+}
 
 // sendPendingNotifications sends all pending notifications on a client connection on which a valid message
 // has just arrived.
@@ -142,7 +146,7 @@
 func (n *notifier) redeliver(closedConn *clientConn) {
 	log := &closedConn.notifications
 	for _, notice := range log.unacknowledgedNotifications {
-		if notice.needsRedelivery(n.now, log.clientAcknowledges) {
+		if notice.needsRedelivery(n.now, n.clientsAcknowledge) {
 			n.counts.Redeliveries++
 			n.sendOnAnyConn(0, notice)
 		}
--- a/internal/platform/dispatch/notification_test.go
+++ b/internal/platform/dispatch/notification_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -137,3 +138,32 @@
 		t.Errorf("got effects %+v after the client connection closed, want one Stop message with cause 16 on the other connection", effects)
 	}
 }
+
+// TestLateNotificationRedelivered guards against a notification that is sent late, or again, and is lost with
+// its connection: what counts is how long it was on that connection, not how old it is. It must be sent on
+// each new connection until one of them stays open.
+func TestLateNotificationRedelivered(t *testing.T) {
+	for _, clientAcknowledged := range []bool{false, true} {
+		t.Run(fmt.Sprintf("client has acknowledged an earlier notification: %v", clientAcknowledged), func(t *testing.T) {
+			harness, _, attempt := runningAttempt(t, "seats")
+			openFor := placer.Seconds(0.01)
+			if clientAcknowledged {
+				harness.receiveFromClient(1, newMessage(protocol.Stopped, 99, noCause))
+				openFor = unacknowledgedWindow + 0.5 // The client would have acknowledged the notification by now.
+			}
+			harness.core.ClientDisconnected(harness.now, 1)
+			harness.reportEnd(attempt.Node, attempt.Message.ID, protocol.CauseEnd)
+			harness.core.Ready()
+			for range 3 {
+				harness.now += 0.8
+				conn := harness.connect()
+				harness.receiveFromClient(conn, newMessage(protocol.Check, 77, 0))
+				if got := notifiedConns(harness); !slices.Equal(got, []ConnID{conn}) {
+					t.Fatalf("client was notified on connections %v, want only connection %d, since the earlier ones were lost", got, conn)
+				}
+				harness.now += openFor
+				harness.core.ClientDisconnected(harness.now, conn)
+			}
+		})
+	}
+}
--- a/internal/platform/server/client_conn_test.go
+++ b/internal/platform/server/client_conn_test.go
@@ -213,6 +213,27 @@
 	nextClientConn.expectMessage(`"stop"`, "0000000000000001", `"reason":16`)
 }
 
+// TestLateNotificationRedelivered guards against a notification that waited for a connection, was sent on one
+// that is reset at once, and is never sent again.
+func TestLateNotificationRedelivered(t *testing.T) {
+	server, firstClient, nodeConn := startServerWithTask(t)
+	firstClient.close()
+	server.waitUntil("the server to have no client connection", func() bool { return len(server.clients.byID) == 0 })
+	sendTo(t, nodeConn, stopMessage(1, 16))
+	server.waitUntil("the server to learn that the task has ended", func() bool { return server.core.RunningTasks() == 0 })
+	time.Sleep(1100 * time.Millisecond)     // A notification that was sent this long ago counts as received.
+	resetClient := server.connectAndCheck() // The server sends the notification behind the answer to the health check.
+	if err := resetClient.Conn.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	resetClient.close()
+	server.waitUntil("the server to have no client connection again", func() bool { return len(server.clients.byID) == 0 })
+
+	nextClient := server.connect()
+	nextClient.send(healthCheckMessage)
+	nextClient.expectMessage(`"stop"`, "0000000000000001", `"reason":16`)
+}
+
 // TestLastClientConnectionIsKept checks that the only remaining client connection is not closed as idle while
 // a task runs, even if the client has only requested an adoption or sent a health check on this connection.
 // When a task ends, the server must report this on the connection at once.
