The end of a task is learnt from a node that hung, or whose connection was reset

Cause: MultiplexedPolicy.KeepAlive closed each connection 0.5 s after an unanswered health check, the replacements too, while nothing newer worked. The node repeats the report once, on the first replacement. A connection that came up in the host's backlog counted as a sign of life. The same loss without a hang: the connection of the report is reset while another one is open, and nothing is opened afterwards.

One more connection is opened after one on which a report may have been lost. Only data counts as a sign of life.

--- a/internal/control/connpool/keepalive.go
+++ b/internal/control/connpool/keepalive.go
@@ -33,6 +33,9 @@
 	LastReceived    clock.Instant // LastReceived is when any data last arrived on the connection.
 	HealthCheckSent clock.Instant // HealthCheckSent is when the unanswered health check was sent, or zero if no health check is unanswered.
 	IncompleteSince clock.Instant // IncompleteSince is when the first part of an incomplete message arrived, or zero if no message is incomplete.
+	OpenedAt        clock.Instant // OpenedAt is when the connection was established.
+	AnsweredAt      clock.Instant // AnsweredAt is when the first data arrived on the connection, or zero if none has arrived.
+	Superseded      bool          // Superseded means that a newer connection to the same node works; see Supersede.
 }
 
 // Usable reports whether requests may be sent on the connection. A connection that awaits the answer to a
@@ -57,6 +60,7 @@
 	SendHealthCheck                   // SendHealthCheck means that the caller sends a health check on the connection.
 	CloseIdle                         // CloseIdle means that the caller closes the connection because it is idle; this loses no message.
 	CloseUnresponsive                 // CloseUnresponsive means that the caller closes the connection; the outcomes of its pending requests are unknown.
+	KeepSilent                        // KeepSilent means that the caller gives up the pending requests on the connection and keeps it open, because the node may still report the end of a task on it.
 )
 
 // KeepAlive returns the action that is due at the given time on a connection in the given state.
@@ -64,10 +68,13 @@
 	if !s.IncompleteSince.IsZero() && now.Sub(s.IncompleteSince) > p.HealthCheckTimeout {
 		return CloseUnresponsive
 	}
-	if !s.HealthCheckSent.IsZero() {
-		if now.Sub(s.HealthCheckSent) > p.HealthCheckTimeout {
-			return CloseUnresponsive
+	if p.Silent(now, s) {
+		if s.RunsTasks && !s.Superseded {
+			return KeepSilent
 		}
+		return CloseUnresponsive
+	}
+	if !s.HealthCheckSent.IsZero() {
 		return NoAction
 	}
 	if s.expectsMessage() && now.Sub(max(s.LastReceived, s.LastSent)) > p.HealthCheckAfter {
@@ -92,7 +99,14 @@
 	hasFailedDial bool          // hasFailedDial means that a dial to the node has failed since lastReceived.
 }
 
-// Received records that a message from the node arrived or that a connection to the node was established.
+// Established records that a connection to the node was established. This is no sign of life of the node: its
+// host accepts connections also while the node hangs.
+func (r *Reachability) Established() {
+	r.refusedSince = 0
+	r.hasFailedDial = false
+}
+
+// Received records that a message from the node arrived.
 func (r *Reachability) Received(now clock.Instant) {
 	r.lastReceived = now
 	r.refusedSince = 0
--- a/internal/control/connpool/keepalive_test.go
+++ b/internal/control/connpool/keepalive_test.go
@@ -23,6 +23,8 @@
 		{"no traffic for longer than HealthCheckAfter while the node runs tasks", ConnState{RunsTasks: true, LastSent: instantAt(50), LastReceived: instantAt(98)}, SendHealthCheck},
 		{"unanswered health check sent less than HealthCheckTimeout ago", ConnState{RunsTasks: true, LastSent: instantAt(50), LastReceived: instantAt(98), HealthCheckSent: instantAt(99.6)}, NoAction},
 		{"unanswered health check sent more than HealthCheckTimeout ago", ConnState{PendingRequests: 3, LastSent: instantAt(99), LastReceived: instantAt(98), HealthCheckSent: instantAt(99.4)}, CloseUnresponsive},
+		{"unanswered health check on the only connection to a node that runs tasks", ConnState{RunsTasks: true, LastSent: instantAt(99), LastReceived: instantAt(98), HealthCheckSent: instantAt(99.4)}, KeepSilent},
+		{"unanswered health check on a superseded connection to a node that runs tasks", ConnState{RunsTasks: true, Superseded: true, LastSent: instantAt(99), LastReceived: instantAt(98), HealthCheckSent: instantAt(99.4)}, CloseUnresponsive},
 		{"received message incomplete for longer than HealthCheckTimeout", ConnState{PendingRequests: 1, LastSent: instantAt(99.9), LastReceived: instantAt(99.9), IncompleteSince: instantAt(99.4)}, CloseUnresponsive},
 		{"connection idle for longer than MaxIdle, node runs no tasks", ConnState{LastSent: instantAt(90), LastReceived: instantAt(99)}, CloseIdle},
 		{"connection idle for longer than MaxIdle, node runs tasks and has no other connection", ConnState{LastSent: instantAt(90), LastReceived: instantAt(99.5), RunsTasks: true}, NoAction},
@@ -52,6 +54,15 @@
 	if reachability.Status(instantAt(110)) != Reachable {
 		t.Error("a node whose dial was refused and whose next dial timed out is not Reachable 3 s after its last message")
 	}
+	reachability.DialFailed(instantAt(112), false)
+	reachability.Established() // The host accepts the connection, and the node sends nothing on it.
+	if reachability.Status(instantAt(150)) != Reachable {
+		t.Error("a node whose last dial succeeded is not Reachable, want Reachable")
+	}
+	reachability.DialFailed(instantAt(151), false)
+	if reachability.Status(instantAt(151)) != Unresponsive {
+		t.Error("a node that has sent nothing since 107 s is not Unresponsive after a failed dial, though a connection came up meanwhile")
+	}
 	reachability.Received(instantAt(200))
 	if reachability.Status(instantAt(300)) != Reachable {
 		t.Error("a node to which no dial has failed is not Reachable 100 s after its last message")
--- a/internal/platform/dispatch/attempt_table.go
+++ b/internal/platform/dispatch/attempt_table.go
@@ -132,6 +132,16 @@
 	t.postAttemptEnded(attempt, attemptOutcome{result: placer.Lost})
 }
 
+// handleUnresponsiveNode abandons an attempt if its node does not answer on the connection of the attempt. The
+// connection stays open, so the node is told that the attempt was given up.
+func (t *attemptTable) handleUnresponsiveNode(attempt *Attempt) {
+	if attempt.state != attemptSent {
+		return
+	}
+	t.counts.ConnectionsLost++
+	t.abandon(attempt, placer.Lost, false)
+}
+
 // markRunning changes the state of an attempt to attemptRunning, after the node has accepted the attempt.
 func (t *attemptTable) markRunning(attempt *Attempt) {
 	t.timers.Stop(attempt.timer)
--- a/internal/platform/dispatch/core.go
+++ b/internal/platform/dispatch/core.go
@@ -227,6 +227,15 @@
 	c.runEvents()
 }
 
+// AttemptUnresponsive tells the core that the node does not answer on the connection on which an attempt was
+// sent. If the node has not answered the attempt, the attempt ends with an unknown outcome, and the node is told
+// that it was given up.
+func (c *Core) AttemptUnresponsive(now placer.Seconds, attempt *Attempt) {
+	c.setClock(now)
+	c.attempts.handleUnresponsiveNode(attempt)
+	c.runEvents()
+}
+
 // ReceiveFromNode handles one message of a node about a task. The message has an effect only if an attempt
 // for this task was sent to the node and the attempt has not been removed. Otherwise the core only counts the
 // message. There is one exception: the core also records the end of a task that it does not know, because a
--- a/internal/platform/server/node_conn.go
+++ b/internal/platform/server/node_conn.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 
-	"heathshed/internal/control/clock"
 	"heathshed/internal/control/connpool"
 	"heathshed/internal/netio/eventloop"
 	"heathshed/internal/platform/dispatch"
@@ -45,15 +44,17 @@
 
 // nodeConn is one connection to a node. It implements eventloop.Handler for the events of this connection.
 type nodeConn struct {
-	link          *nodeLink
-	id            dispatch.NodeConnID
-	conn          *eventloop.Conn
-	state         nodeConnState
-	establishedAt clock.Instant
-	attempts      map[*dispatch.Attempt]struct{} // attempts contains the unanswered attempts that were sent on the connection.
-	keepAlive     connpool.ConnState
-	checks        checkQueue
-	message       protocol.Message
+	link      *nodeLink
+	id        dispatch.NodeConnID
+	conn      *eventloop.Conn
+	state     nodeConnState
+	attempts  map[*dispatch.Attempt]struct{} // attempts contains the unanswered attempts that were sent on the connection.
+	keepAlive connpool.ConnState
+	checks    checkQueue
+	silent    bool // silent is set while the node has not answered a health check in time.
+	// closedAsSurplus is set if the connection is closed although it works, or although an older one is kept.
+	closedAsSurplus bool
+	message         protocol.Message
 }
 
 // setState changes the state of the node connection. An illegal transition is a programming error: setState
@@ -109,6 +110,7 @@
 func (nc *nodeConn) handleChecked(id protocol.ID) {
 	if id == healthCheck.ID {
 		nc.keepAlive.HealthCheckSent = 0
+		nc.silent = false
 		return
 	}
 	s := nc.link.server
@@ -121,11 +123,43 @@
 	}
 }
 
+// markSilent handles the first failure of the node to answer a health check in time. It gives up the unanswered
+// attempts on the connection.
+func (nc *nodeConn) markSilent() {
+	if nc.silent {
+		return
+	}
+	nc.silent = true
+	s := nc.link.server
+	s.stats.NodeConnsUnresponsive++
+	for _, attempt := range nc.takeAttempts() {
+		s.core.AttemptUnresponsive(s.coreNow(), attempt)
+	}
+	s.core.RepeatChecks(s.coreNow(), nc.link.id)
+	s.applyReadyEffects()
+}
+
+// closeAsSurplus closes a connection on which the node has nothing to report.
+func (nc *nodeConn) closeAsSurplus() {
+	nc.closedAsSurplus = true
+	nc.conn.Close()
+}
+
+// takeAttempts removes all unanswered attempts from the connection and returns them.
+func (nc *nodeConn) takeAttempts() []*dispatch.Attempt {
+	attempts := make([]*dispatch.Attempt, 0, len(nc.attempts))
+	for attempt := range nc.attempts {
+		attempts = append(attempts, attempt)
+	}
+	clear(nc.attempts)
+	return attempts
+}
+
 // Opened implements eventloop.Handler. The event loop calls it when the dial to the node has succeeded.
 func (nc *nodeConn) Opened(*eventloop.Conn) {
 	now := nc.link.server.loop.Now()
 	nc.setState(nodeEstablished)
-	nc.establishedAt = now
+	nc.keepAlive.OpenedAt = now
 	nc.keepAlive.LastReceived = now
 	nc.keepAlive.LastSent = now
 	nc.link.connEstablished(nc)
@@ -137,6 +171,9 @@
 	s := nc.link.server
 	now := s.loop.Now()
 	nc.keepAlive.LastReceived = now
+	if nc.keepAlive.AnsweredAt.IsZero() {
+		nc.keepAlive.AnsweredAt = now
+	}
 	nc.link.reachability.Received(now)
 	consumedBytes, err := s.reader.readLines(conn, data, nc.handleLine)
 	nc.removeAnsweredAttempts()
@@ -213,12 +250,7 @@
 // connection ended. It is unknown whether the node received these attempts.
 func (nc *nodeConn) reportLostAttempts() {
 	s := nc.link.server
-	unansweredAttempts := make([]*dispatch.Attempt, 0, len(nc.attempts))
-	for attempt := range nc.attempts {
-		unansweredAttempts = append(unansweredAttempts, attempt)
-	}
-	nc.attempts = nil
-	for _, attempt := range unansweredAttempts {
+	for _, attempt := range nc.takeAttempts() {
 		s.core.ConnectionLost(s.coreNow(), attempt)
 	}
 	s.applyReadyEffects()
--- a/internal/platform/server/node_link.go
+++ b/internal/platform/server/node_link.go
@@ -17,8 +17,9 @@
 	"heathshed/placer"
 )
 
-// nodeLink manages the connections to one node, and the attempts that wait for a connection to the node. A link is identified by the ID of its node and not by the address, because another node may later
-// use the same address.
+// nodeLink manages the connections to one node, and the attempts that wait for a connection to the node. A
+// link is identified by the ID of its node and not by the address, because another node may later use the same
+// address.
 type nodeLink struct {
 	server         *Server
 	id             placer.NodeID
@@ -31,9 +32,12 @@
 	disconnectedAt clock.Instant // disconnectedAt is when a connection to the node last ended, or zero if none has ended.
 	reachability   connpool.Reachability
 	hasTasks       bool // hasTasks states whether the node ran tasks at the last call of maintain.
+	// needsFreshConn states that a connection has ended on which the node may have reported the end of a task.
+	// The node repeats the report on the next connection that is opened.
+	needsFreshConn bool
 	// needsConn states whether the last call of maintain decided that the node must be dialed. A node must be
-	// dialed if no connection to it is established although running tasks or unanswered checks require one,
-	// and if checkReachability allows a dial.
+	// dialed if running tasks or unanswered checks require a connection that works or a fresh one, and if
+	// checkReachability allows a dial.
 	needsConn bool
 }
 
@@ -55,6 +59,10 @@
 		return
 	}
 	link.queuedAttempts = append(link.queuedAttempts, attempt)
+	if len(link.conns) >= connpool.MaxSilentConns {
+		link.server.loop.After(0, func() { link.dialFailed(errSilentConns) })
+		return
+	}
 	link.dial()
 }
 
@@ -163,7 +171,8 @@
 // unanswered checks, and schedules the queued attempts.
 func (link *nodeLink) connEstablished(nc *nodeConn) {
 	s := link.server
-	link.reachability.Received(s.loop.Now())
+	link.reachability.Established()
+	link.needsFreshConn = false
 	if link.dialingConn == nc {
 		link.dialingConn = nil
 	}
@@ -184,7 +193,7 @@
 	s := link.server
 	s.stats.NodeDialsFailed++
 	link.retryAt = s.loop.Now().Add(s.nextRetryDelay(&link.backoff))
-	if !errors.Is(err, errNoConnectionSlot) { // A dial for which no connection slot is free does not show whether the node is reachable.
+	if !errors.Is(err, errNoConnectionSlot) && !errors.Is(err, errSilentConns) { // A dial that was not started does not show whether the node is reachable.
 		link.reachability.DialFailed(s.loop.Now(), errors.Is(err, unix.ECONNREFUSED))
 	}
 	attempts := link.queuedAttempts
@@ -203,6 +212,10 @@
 		link.conns = slices.Delete(link.conns, i, i+1)
 	}
 	link.disconnectedAt = s.loop.Now()
+	node := s.core.Node(link.id)
+	if node != nil && node.RunningTasks() > 0 && !nc.closedAsSurplus {
+		link.needsFreshConn = true
+	}
 	if !errors.Is(err, eventloop.ErrClosedLocally) {
 		s.stats.NodeConnsLost++
 	}
@@ -231,33 +244,56 @@
 		link.reachability.Received(now) // Dials that failed before these tasks started do not show that the tasks are lost.
 	}
 	link.hasTasks = hasTasks
+	link.needsFreshConn = link.needsFreshConn && hasTasks
 	link.maintainConns(now)
-	link.needsConn = link.lacksRequiredConn() && link.checkReachability(now, node)
+	link.needsConn = link.lacksRequiredConn(now) && link.checkReachability(now, node)
 }
 
 // maintainConns applies the keep-alive policy to each established connection to the node.
 func (link *nodeLink) maintainConns(now clock.Instant) {
-	s := link.server
+	policy := link.server.nodes.keepAlive
+	policy.Supersede(now, link.connStates())
+	expendable := policy.Expendable(now, link.connStates())
 	for _, nc := range slices.Clone(link.conns) {
 		nc.keepAlive.PendingRequests = len(nc.attempts)
 		nc.keepAlive.RunsTasks = link.hasTasks
 		nc.keepAlive.HasAlternative = len(link.conns) > 1
-		switch s.nodes.keepAlive.KeepAlive(now, nc.keepAlive) {
+		switch policy.KeepAlive(now, nc.keepAlive) {
 		case connpool.SendHealthCheck:
 			nc.sendHealthCheck()
 		case connpool.CloseIdle:
-			nc.conn.Close()
+			nc.closeAsSurplus()
+		case connpool.KeepSilent:
+			nc.markSilent()
+			if &nc.keepAlive == expendable {
+				nc.closeAsSurplus()
+			}
 		case connpool.CloseUnresponsive:
-			s.stats.NodeConnsUnresponsive++
+			nc.markSilent()
 			nc.conn.Close()
 		}
 	}
 }
 
-// lacksRequiredConn reports whether no connection to the node is established although the node runs tasks or
-// has not answered a check.
-func (link *nodeLink) lacksRequiredConn() bool {
-	return (link.hasTasks || link.server.core.AwaitsCheckAnswer(link.id)) && len(link.conns) == 0
+// connStates returns the states of the established connections to the node. The slice is valid until the next
+// call for any link.
+func (link *nodeLink) connStates() []*connpool.ConnState {
+	states := link.server.nodes.connStates[:0]
+	for _, nc := range link.conns {
+		states = append(states, &nc.keepAlive)
+	}
+	link.server.nodes.connStates = states
+	return states
+}
+
+// lacksRequiredConn reports whether another connection to the node must be opened, because the node runs tasks
+// or has not answered a check.
+func (link *nodeLink) lacksRequiredConn(now clock.Instant) bool {
+	if !link.hasTasks && !link.server.core.AwaitsCheckAnswer(link.id) {
+		return false
+	}
+	mayOpenFreshConn := link.needsFreshConn && len(link.conns) < connpool.MaxSilentConns
+	return mayOpenFreshConn || link.server.nodes.keepAlive.NeedsReplacement(now, link.connStates())
 }
 
 // checkReachability notifies the dispatch core if the node is unreachable. It returns whether the node may be
@@ -284,7 +320,7 @@
 }
 
 // isDialDue reports whether the node must be dialed now. This is the case if it needs a connection, none is
-// established or being dialed, and the delay after the last failed dial has elapsed.
+// being dialed, and the delay after the last failed dial has elapsed.
 func (link *nodeLink) isDialDue(now clock.Instant) bool {
-	return link.needsConn && len(link.conns) == 0 && link.dialingConn == nil && now >= link.retryAt
+	return link.needsConn && link.dialingConn == nil && now >= link.retryAt
 }
--- a/internal/platform/server/node_links.go
+++ b/internal/platform/server/node_links.go
@@ -41,6 +41,10 @@
 // in use.
 var errNoConnectionSlot = errors.New("all connection slots for nodes are in use")
 
+// errSilentConns is the error of a dial that was not started because the node answers on none of its
+// connections.
+var errSilentConns = errors.New("the node answers on none of its connections")
+
 // nodeLinks contains the links to all nodes and limits the total number of node connections.
 type nodeLinks struct {
 	server       *Server
@@ -52,6 +56,7 @@
 	keepAlive    connpool.MultiplexedPolicy // keepAlive is the keep-alive policy of all node connections.
 	reachability connpool.Reachability      // reachability is the initial value of nodeLink.reachability for each new link.
 	linksToDial  []*nodeLink                // linksToDial is a buffer that reconnect reuses to avoid allocations.
+	connStates   []*connpool.ConnState      // connStates is a buffer that nodeLink.connStates reuses to avoid allocations.
 }
 
 // newNodeLinks returns a nodeLinks that contains no links yet. A node connection on which no request was sent
@@ -159,7 +164,7 @@
 	var conns []*nodeConn
 	for _, link := range links.byID {
 		for _, nc := range link.conns {
-			holdsSlot := link.hasTasks && now.Sub(nc.establishedAt) < links.slotHoldTime
+			holdsSlot := link.hasTasks && now.Sub(nc.keepAlive.OpenedAt) < links.slotHoldTime
 			candidates = append(candidates, memquota.EvictionCandidate{
 				Busy:        len(nc.attempts) > 0 || holdsSlot,
 				Established: link.hasTasks,
@@ -172,6 +177,6 @@
 	if i < 0 {
 		return false
 	}
-	conns[i].conn.Close()
+	conns[i].closeAsSurplus()
 	return true
 }
--- a/internal/platform/server/stats.go
+++ b/internal/platform/server/stats.go
@@ -24,7 +24,7 @@
 	NodeDialsFailed    uint64
 	NodeConnsLost      uint64 // NodeConnsLost counts node connections that the node or the network ended.
 	NodeConnsSuspected uint64 // NodeConnsSuspected counts node connections that were checked because an attempt timed out.
-	// NodeConnsUnresponsive counts node connections that were closed because the answer to a health check or
+	// NodeConnsUnresponsive counts node connections that were found silent because the answer to a health check or
 	// the rest of a message did not arrive in time.
 	NodeConnsUnresponsive uint64
 	NodesUnreachable      uint64 // NodesUnreachable counts nodes whose tasks were reported as lost because the node was unreachable.
