A client gets no notification of a task only for a message about an unknown one

A stranger that has sent one `stop` for an unknown id gets the notification; the owner, back 2.5 s later, is never told.

Cause: clientRegistry took each connection with a message that is not invalid for an owner's, and what was sent there counted as delivered.

Change: clientIdentity is the one definition, for selecting, keeping and repeating. A connection is an owner's after a valid request or a message about a task that the core knows, and a prober's after a health check; others are not notified. What a prober did not acknowledge is sent to the next owner.

Tests: TestNotificationOfForeignTask in dispatch, four of its five cases failed before; TestNoNotificationToStranger on real connections failed before.

--- a/internal/platform/dispatch/client_message.go
+++ b/internal/platform/dispatch/client_message.go
@@ -15,29 +15,39 @@
 
 // receive handles one message of a client. If the message is invalid, the client receives an error answer.
 func (h *clientMessageHandler) receive(client *clientConn, msg *protocol.Message) error {
-	if err := h.handle(client, msg); err != nil {
+	identity, err := h.handle(client, msg)
+	if err != nil {
 		h.counts.InvalidMessages++
 		h.clients.send(client.id, replyTo(msg, protocol.Stop, protocol.CauseError))
 		return err
 	}
-	h.clients.recordValidMessage(client)
+	if identity == clientUnknown {
+		return nil
+	}
+	if h.clients.recordIdentity(client, identity) {
+		h.notifier.redeliverToOwner(client)
+	}
 	h.notifier.sendPendingNotifications(client)
 	return nil
 }
 
-// handle passes a message to the handler for its kind. It ignores messages of kinds that only nodes send.
-func (h *clientMessageHandler) handle(client *clientConn, msg *protocol.Message) error {
+// handle passes a message to the handler for its kind, and returns what the message shows about the client. It
+// ignores messages of kinds that only nodes send.
+func (h *clientMessageHandler) handle(client *clientConn, msg *protocol.Message) (clientIdentity, error) {
 	switch msg.Kind {
 	case protocol.Check:
 		h.handleHealthCheck(client, msg)
+		return clientProber, nil
 	case protocol.Stopped:
-		h.notifier.acknowledge(client, msg.ID)
+		if h.notifier.acknowledge(client, msg.ID) {
+			return clientOwner, nil
+		}
 	case protocol.Launch:
-		return h.handleLaunch(client, msg)
+		return clientOwner, h.handleLaunch(client, msg)
 	case protocol.Stop:
 		return h.handleStop(client, msg)
 	}
-	return nil
+	return clientUnknown, nil
 }
 
 // healthCheckPassed is the cause in a Checked message that reports a healthy scheduler.
@@ -85,22 +95,22 @@
 	return invalidMessage(InvalidIDInUse, "launch message %s has the same ID as an existing request", msg.UID)
 }
 
-// handleStop handles a Stop message. A client sends a Stop message to withdraw an open request or to stop a
-// running task.
-func (h *clientMessageHandler) handleStop(client *clientConn, msg *protocol.Message) error {
+// handleStop handles a Stop message, and returns what it shows about the client. A client sends a Stop message
+// to withdraw an open request or to stop a running task.
+func (h *clientMessageHandler) handleStop(client *clientConn, msg *protocol.Message) (clientIdentity, error) {
 	req := h.requests.getByID(msg.ID)
 	if req == nil {
-		return nil // The request ended before the client's Stop message arrived.
+		return clientUnknown, nil // The request ended before the client's Stop message arrived, or there was none.
 	}
 	if attempt := req.runningAttempt(); attempt != nil {
 		h.tasks.stopForClient(attempt, clientStopCause(msg))
-		return nil
+		return clientOwner, nil
 	}
 	if req.connID != client.id {
-		return invalidMessage(InvalidStop, "stop message: request %s is open on another client connection", msg.UID)
+		return clientUnknown, invalidMessage(InvalidStop, "stop message: request %s is open on another client connection", msg.UID)
 	}
 	h.requests.withdraw(req)
-	return nil
+	return clientOwner, nil
 }
 
 // clientStopCause returns the cause that is sent to the node when a client stops its running task.
--- a/internal/platform/dispatch/client_registry.go
+++ b/internal/platform/dispatch/client_registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"heathshed/internal/platform/protocol"
@@ -11,20 +12,20 @@
 // ConnID identifies a client connection. The value 0 stands for the absence of a connection.
 type ConnID uint64
 
-// clientConn is the state of one client connection, and is owned by clientRegistry. Until a valid message has
-// arrived on the connection, the peer may be any program that connected to the port of the scheduler.
+// clientConn is the state of one client connection, and is owned by clientRegistry.
 type clientConn struct {
 	id           ConnID
+	identity     clientIdentity // identity is the strongest evidence that has arrived on the connection.
 	openRequests map[*request]struct{}
 	// lastPlacedAt is the last time at which the task of a request on this connection started or was adopted.
 	// It is 0 if there is no such task.
-	lastPlacedAt       placer.Seconds
-	lastValidMessageAt placer.Seconds // lastValidMessageAt is 0 until a valid message has arrived.
-	notifications      deliveryLog    // Only the notifier writes this log of notifications.
+	lastPlacedAt     placer.Seconds
+	lastIdentifiedAt placer.Seconds // lastIdentifiedAt is when a message that shows an identity last arrived, or 0.
+	notifications    deliveryLog    // Only the notifier writes this log of notifications.
 }
 
-// hasSentValidMessage reports whether a valid message has arrived on the connection.
-func (conn *clientConn) hasSentValidMessage() bool { return conn.lastValidMessageAt > 0 }
+// isIdentified reports whether the client may be notified if no better connection is open.
+func (conn *clientConn) isIdentified() bool { return conn.identity > clientUnknown }
 
 // hasOpenRequest reports whether the given request is one of the open requests of the connection.
 func (conn *clientConn) hasOpenRequest(req *request) bool {
@@ -32,17 +33,15 @@
 	return isOpen
 }
 
-// moreRecentlyUsedThan reports whether the connection was used more recently than another one. The connection
-// with the later lastPlacedAt was used more recently. If these times are equal, the connection with the later
-// lastValidMessageAt was used more recently, and if those are equal too, the one with the higher ID.
-func (conn *clientConn) moreRecentlyUsedThan(other *clientConn) bool {
-	if conn.lastPlacedAt != other.lastPlacedAt {
-		return conn.lastPlacedAt > other.lastPlacedAt
-	}
-	if conn.lastValidMessageAt != other.lastValidMessageAt {
-		return conn.lastValidMessageAt > other.lastValidMessageAt
-	}
-	return conn.id > other.id
+// betterThan reports whether the connection more likely belongs to the owner of running tasks than another one:
+// by its identity, then by the later lastPlacedAt, then by the later lastIdentifiedAt, then by the higher ID.
+func (conn *clientConn) betterThan(other *clientConn) bool {
+	return cmp.Or(
+		cmp.Compare(conn.identity, other.identity),
+		cmp.Compare(conn.lastPlacedAt, other.lastPlacedAt),
+		cmp.Compare(conn.lastIdentifiedAt, other.lastIdentifiedAt),
+		cmp.Compare(conn.id, other.id),
+	) > 0
 }
 
 // openRequestsByArrival returns the open requests of the connection in the order of their arrival.
@@ -89,8 +88,19 @@
 	return count
 }
 
-// recordValidMessage records that a valid message arrived on a connection.
-func (r *clientRegistry) recordValidMessage(conn *clientConn) { conn.lastValidMessageAt = r.now }
+// recordIdentity records what a message on a connection has shown about the client. It returns true if the
+// connection has become an owner's.
+func (r *clientRegistry) recordIdentity(conn *clientConn, identity clientIdentity) (becameOwner bool) {
+	becameOwner = identity == clientOwner && conn.identity != clientOwner
+	conn.identity = max(conn.identity, identity)
+	conn.lastIdentifiedAt = r.now
+	return becameOwner
+}
+
+// connsByID returns the open connections in the order of their IDs.
+func (r *clientRegistry) connsByID() []*clientConn {
+	return slices.SortedFunc(maps.Values(r.conns), func(a, b *clientConn) int { return cmp.Compare(a.id, b.id) })
+}
 
 // addOpenRequest adds a request to the set of open requests of its client connection.
 func (r *clientRegistry) addOpenRequest(req *request) {
@@ -128,30 +138,28 @@
 }
 
 // selectConn returns the preferred connection if that connection is open. Otherwise it returns the connection
-// that most likely belongs to a client with running tasks. It returns nil if no valid message has arrived on
-// any open connection.
+// that most likely belongs to a client with running tasks. It returns nil if no open connection is identified.
 func (r *clientRegistry) selectConn(preferredConn ConnID) *clientConn {
 	if conn := r.conns[preferredConn]; conn != nil {
 		return conn
 	}
-	var mostRecentlyUsed *clientConn
+	var best *clientConn
 	for _, conn := range r.conns {
-		if conn.hasSentValidMessage() && (mostRecentlyUsed == nil || conn.moreRecentlyUsedThan(mostRecentlyUsed)) {
-			mostRecentlyUsed = conn
+		if conn.isIdentified() && (best == nil || conn.betterThan(best)) {
+			best = conn
 		}
 	}
-	return mostRecentlyUsed
+	return best
 }
 
-// isOnlyClient reports whether a connection is the only open connection on which a valid message has
-// arrived.
+// isOnlyClient reports whether a connection is the only open connection that is identified.
 func (r *clientRegistry) isOnlyClient(id ConnID) bool {
 	conn := r.conns[id]
-	if conn == nil || !conn.hasSentValidMessage() {
+	if conn == nil || !conn.isIdentified() {
 		return false
 	}
 	for otherID, otherConn := range r.conns {
-		if otherID != id && otherConn.hasSentValidMessage() {
+		if otherID != id && otherConn.isIdentified() {
 			return false
 		}
 	}
--- a/internal/platform/dispatch/core.go
+++ b/internal/platform/dispatch/core.go
@@ -181,8 +181,8 @@
 }
 
 // IsOnlyClient reports whether tasks are running and the given client connection is the only open client
-// connection on which a valid message has arrived. If this connection closes, the core has no other client
-// connection on which it can send notifications of the ends of tasks.
+// connection that is identified. If this connection closes, the core has no other client connection on which
+// it can send notifications of the ends of tasks.
 func (c *Core) IsOnlyClient(connID ConnID) bool {
 	return c.RunningTasks() > 0 && c.clients.isOnlyClient(connID)
 }
--- a/internal/platform/dispatch/notification.go
+++ b/internal/platform/dispatch/notification.go
@@ -66,11 +66,20 @@
 }
 
 // acknowledge removes the notifications about the end of the task with the given ID, after the client has
-// acknowledged the end of that task.
-func (l *deliveryLog) acknowledge(id protocol.ID) {
+// acknowledged the end of that task. It returns false if there is none.
+func (l *deliveryLog) acknowledge(id protocol.ID) bool {
+	countBefore := len(l.unacknowledgedNotifications)
 	l.unacknowledgedNotifications = slices.DeleteFunc(l.unacknowledgedNotifications, func(entry notification) bool {
 		return entry.message.ID == id && !entry.sentAsMigration
 	})
+	return len(l.unacknowledgedNotifications) < countBefore
+}
+
+// takeUnexpired removes all notifications and returns those that have not expired.
+func (l *deliveryLog) takeUnexpired(now placer.Seconds) []notification {
+	taken := slices.DeleteFunc(l.unacknowledgedNotifications, func(entry notification) bool { return entry.expiresAt <= now })
+	l.unacknowledgedNotifications = nil
+	return taken
 }
 
 // notifier notifies clients when their running tasks end or have to migrate. It owns the pending
@@ -91,8 +100,8 @@
 
 // notify sends a notification about the task of a request to the client. The notification is sent on the
 // client connection on which the request arrived if that connection is open, otherwise on another client
-// connection. If no client connection is suitable, the notification is sent on the next client connection on
-// which a valid message arrives.
+// connection. If no client connection is suitable, the notification is sent on the next client connection that
+// is identified.
 func (n *notifier) notify(req *request, msg protocol.Message) {
 	n.sendOnAnyConn(req.connID, n.newNotification(msg))
 }
@@ -122,14 +131,28 @@
 }
 
 // acknowledge handles a Stopped message. A client sends a Stopped message to acknowledge the notification that
-// its task has ended.
-func (n *notifier) acknowledge(conn *clientConn, id protocol.ID) {
+// its task has ended. acknowledge returns false if no such notification was sent on the connection.
+func (n *notifier) acknowledge(conn *clientConn, id protocol.ID) bool {
 	n.clientsAcknowledge = true
-	conn.notifications.acknowledge(id)
+	return conn.notifications.acknowledge(id)
+}
+
+// redeliverToOwner repeats the notifications that other clients without tasks have received and not
+// acknowledged, on a connection that has just become an owner's.
+func (n *notifier) redeliverToOwner(owner *clientConn) {
+	for _, conn := range n.clients.connsByID() {
+		if conn.identity == clientOwner {
+			continue
+		}
+		for _, notice := range conn.notifications.takeUnexpired(n.now) {
+			n.counts.Redeliveries++
+			n.send(owner, notice)
+		}
+	}
 }
 
-// sendPendingNotifications sends all pending notifications on a client connection on which a valid message
-// has just arrived.
+// sendPendingNotifications sends all pending notifications on a client connection on which a message that
+// identifies the client has just arrived.
 func (n *notifier) sendPendingNotifications(conn *clientConn) {
 	for _, notice := range n.pendingNotifications {
 		if notice.expiresAt < n.now {
--- a/internal/platform/dispatch/notification_test.go
+++ b/internal/platform/dispatch/notification_test.go
@@ -167,3 +167,46 @@
 		})
 	}
 }
+
+// TestNotificationOfForeignTask guards against a client that gets the notification of another client's task:
+// a connection counts as an owner's only after a valid request or a message about a task that the core knows.
+// A notification that a client without tasks did not acknowledge is sent again to the owner.
+func TestNotificationOfForeignTask(t *testing.T) {
+	unknownID := protocol.ID(0xdeadbeef)
+	for _, test := range []struct {
+		name         string
+		message      protocol.Message // message is the only message of the stranger.
+		toStranger   bool             // toStranger is set if the stranger is notified while no owner is connected.
+		acknowledged bool             // acknowledged is set if the stranger acknowledges the notification.
+		toOwner      bool
+	}{
+		{"stranger stops an unknown task", newMessage(protocol.Stop, unknownID, protocol.CauseEnd), false, false, true},
+		{"stranger acknowledges an unknown task", newMessage(protocol.Stopped, unknownID, noCause), false, false, true},
+		{"stranger sends what only nodes send", newMessage(protocol.Update, unknownID, noCause), false, false, true},
+		{"stranger sends a health check", newMessage(protocol.Check, unknownID, 0), true, false, true},
+		{"client that sends a health check acknowledges", newMessage(protocol.Check, unknownID, 0), true, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			harness, _, attempt := runningAttempt(t, "seats")
+			stranger := harness.connect()
+			harness.receiveFromClient(stranger, test.message)
+			harness.core.ClientDisconnected(harness.now, attempt.ClientConn())
+			harness.core.Ready()
+			harness.reportEnd(attempt.Node, attempt.Message.ID, protocol.CauseEnd)
+			if got := slices.Contains(notifiedConns(harness), stranger); got != test.toStranger {
+				t.Errorf("the stranger was notified: got %v, want %v", got, test.toStranger)
+			}
+			if test.acknowledged {
+				harness.receiveFromClient(stranger, newMessage(protocol.Stopped, attempt.Message.ID, noCause))
+			}
+			harness.now += 2.5
+
+			owner := harness.connect()
+			harness.receiveFromClient(owner, launchMessage(99))
+
+			if got := slices.Contains(notifiedConns(harness), owner); got != test.toOwner {
+				t.Errorf("the owner was notified when it came back: got %v, want %v", got, test.toOwner)
+			}
+		})
+	}
+}
--- a/internal/platform/server/client_conn_test.go
+++ b/internal/platform/server/client_conn_test.go
@@ -234,6 +234,33 @@
 	nextClient.expectMessage(`"stop"`, "0000000000000001", `"reason":16`)
 }
 
+// TestNoNotificationToStranger guards against a client that gets the notification of another client's task: a
+// stranger that has stopped an unknown task is connected when the task ends, and the owner is not.
+func TestNoNotificationToStranger(t *testing.T) {
+	server, owner, nodeConn := startServerWithTask(t)
+	stranger := server.connect()
+	stranger.send(stopMessage(0xdead, 16))
+	server.waitUntil("the server to read the stranger's message", func() bool {
+		readCount := 0
+		for _, client := range server.clients.byID {
+			if client.lastMessageAt > client.openedAt {
+				readCount++
+			}
+		}
+		return readCount == 2
+	})
+	owner.close()
+	server.waitUntil("the server to have only the stranger's connection", func() bool { return len(server.clients.byID) == 1 })
+	sendTo(t, nodeConn, stopMessage(1, 16))
+	server.waitUntil("the server to learn that the task has ended", func() bool { return server.core.RunningTasks() == 0 })
+
+	nextOwnerConn := server.connect()
+	nextOwnerConn.launch(2, "query")
+	nextOwnerConn.expectMessage(`"stop"`, "0000000000000001", `"reason":16`)
+	stranger.send(healthCheckMessage)
+	stranger.expectNextMessage(`"checked"`) // The server has sent the stranger nothing about the task.
+}
+
 // TestLastClientConnectionIsKept checks that the only remaining client connection is not closed as idle while
 // a task runs, even if the client has only requested an adoption or sent a health check on this connection.
 // When a task ends, the server must report this on the connection at once.
