Figures of nodes that are no numbers or impossible are left out

Cause: parseLoadReport and handleUpdate passed on what strconv.ParseFloat accepts, infinities included, and usage with an ignored error.

What does not pass is left out; ReceiveFromNode and ReceiveDiscoveryEvent return an error for it, which the server counts (`figure`, InvalidFromDiscovery) and logs at the bounded rate. config.setNumber took 1e999 for 0 and reports it now.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -31,6 +31,8 @@
 		{"setting that occurs twice in the file", "{\n  \"name\": \"a\",\n  \"name\": \"b\"\n}", "f:3:3: name: given twice"},
 		{"number as the value of a string setting", "{\n  \"name\": 3\n}", "f:2:11: name: 3, want a string"},
 		{"fraction as the value of a whole-number setting", `{"peers": 1.5}`, "f:1:11: peers: 1.5, want a whole number"},
+		{"number that no float64 can hold", `{"admission": {"retryRatio": 1e999}}`, "f:1:30: admission.retryRatio: 1e999, want a number"},
+		{"negative number that no float64 can hold", `{"admission": {"retryRatio": -1e999}}`, "f:1:30: admission.retryRatio: -1e999, want a number"},
 		{"object as the value of a list setting", `{"classes": {}}`, "f:1:13: classes: an object, want a list"},
 		{"invalid value of a task class setting", "{\"classes\": [\n {\"name\": \"x\", \"idempotency\": \"maybe\"}]}", "f:2:31: classes[0].idempotency: \"maybe\": want idempotent"},
 		{"unknown setting in a section", `{"timing": {"grace": 1}}`, "f:1:13: timing.grace: no such setting"},
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"reflect"
 	"strings"
 
@@ -185,10 +184,11 @@
 // setNumber sets a floating-point target to the value of a JSON literal. It reports whether the literal is a
 // number in the range of float64.
 func setNumber(literal hujson.Literal, target reflect.Value) bool {
-	if literal.Kind() != '0' || math.IsInf(literal.Float(), 0) {
+	var number float64
+	if err := json.Unmarshal([]byte(literal), &number); literal.Kind() != '0' || err != nil {
 		return false
 	}
-	target.SetFloat(literal.Float())
+	target.SetFloat(number)
 	return true
 }
 
--- a/internal/platform/dispatch/characterization_directed_test.go
+++ b/internal/platform/dispatch/characterization_directed_test.go
@@ -146,7 +146,7 @@
 	for id := firstID; id <= lastID; id++ {
 		msg := wireMessage(protocol.Stop, id)
 		msg.Cause, msg.HasCause = []protocol.Cause{16, 41}[id%2], true
-		recorder.core.ReceiveFromNode(recorder.now, nodeID(1+int(id-1)%scriptNodeCount), &msg)
+		recorder.receiveNodeMessage(nodeID(1+int(id-1)%scriptNodeCount), &msg)
 		recorder.digestEffectsAndState(0)
 	}
 }
@@ -282,7 +282,7 @@
 	for id := uint64(1); id <= countAboveLimit; id++ {
 		msg := wireMessage(protocol.Stop, id)
 		msg.Cause = 41
-		recorder.core.ReceiveFromNode(recorder.now, nodeID(1), &msg)
+		recorder.receiveNodeMessage(nodeID(1), &msg)
 	}
 	for _, id := range []uint64{1, 9, 10, 11, 12, countAboveLimit} {
 		recorder.receiveFromClient(1, recorder.newLaunchMessage(id, ";at:"+dispatch.NodeUID(1)))
--- a/internal/platform/dispatch/characterization_script_test.go
+++ b/internal/platform/dispatch/characterization_script_test.go
@@ -222,7 +222,15 @@
 }
 
 func (recorder *scriptRecorder) receiveFromNode(attempt *dispatch.Attempt, msg *protocol.Message) {
-	recorder.core.ReceiveFromNode(recorder.now, attempt.Node, msg)
+	recorder.receiveNodeMessage(attempt.Node, msg)
+}
+
+// receiveNodeMessage passes a message of a node to the core. If the core leaves out a part of the message, the
+// error is added to the digest.
+func (recorder *scriptRecorder) receiveNodeMessage(node placer.NodeID, msg *protocol.Message) {
+	if err := recorder.core.ReceiveFromNode(recorder.now, node, msg); err != nil {
+		recorder.digestError(err)
+	}
 }
 
 // acceptSentAttempt makes a node accept a random attempt that was sent to the node. The attempt may already
@@ -260,7 +268,7 @@
 		msg.Set(protocol.Value, randomChoice(recorder, "0.5", "1", "3.75", "x", ""))
 	}
 	if len(recorder.sentAttempts) == 0 || recorder.random.IntN(8) == 0 {
-		recorder.core.ReceiveFromNode(recorder.now, nodeID(1+recorder.random.IntN(4)), &msg)
+		recorder.receiveNodeMessage(nodeID(1+recorder.random.IntN(4)), &msg)
 		return
 	}
 	choices := recorder.sentAttempts[max(0, len(recorder.sentAttempts)-12):]
--- a/internal/platform/dispatch/core.go
+++ b/internal/platform/dispatch/core.go
@@ -105,7 +105,7 @@
 			tasks:             c.tasks,
 		},
 	}
-	c.nodeMessages = &nodeMessageHandler{sharedState: shared, attempts: c.attempts, tasks: c.tasks, earlyTerminations: earlyTerminations}
+	c.nodeMessages = &nodeMessageHandler{sharedState: shared, nodes: c.nodes, attempts: c.attempts, tasks: c.tasks, earlyTerminations: earlyTerminations}
 }
 
 // Ready returns the effects that were added since the previous call of Ready. The caller owns the returned
@@ -239,11 +239,13 @@
 // ReceiveFromNode handles one message of a node about a task. The message has an effect only if an attempt
 // for this task was sent to the node and the attempt has not been removed. Otherwise the core only counts the
 // message. There is one exception: the core also records the end of a task that it does not know, because a
-// client may still request the adoption of that task.
-func (c *Core) ReceiveFromNode(now placer.Seconds, node placer.NodeID, msg *protocol.Message) {
+// client may still request the adoption of that task. If a figure in the message is not a number or is out of
+// range, ReceiveFromNode handles the message without the figure, and returns an *InvalidMessageError.
+func (c *Core) ReceiveFromNode(now placer.Seconds, node placer.NodeID, msg *protocol.Message) error {
 	c.setClock(now)
-	c.nodeMessages.receive(node, msg)
+	err := c.nodeMessages.receive(node, msg)
 	c.runEvents()
+	return err
 }
 
 // RepeatChecks makes the core send the unanswered checks to a node again, together with the orders to stop
@@ -313,7 +315,8 @@
 // ReceiveDiscoveryEvent applies one event of the discovery stream. It returns false without applying the
 // event if the event is invalid or if earlier events are missing. In both cases the caller has to reopen the
 // discovery stream at the event that follows LastDiscoveryEvent. If the event was already applied,
-// ReceiveDiscoveryEvent ignores it and returns true.
+// ReceiveDiscoveryEvent ignores it and returns true. If it applied the event without figures that are out of
+// range, it returns true and an *InvalidMessageError.
 func (c *Core) ReceiveDiscoveryEvent(now placer.Seconds, data []byte) (ok bool, err error) {
 	c.setClock(now)
 	ok, err = c.nodes.receiveEvent(data)
--- a/internal/platform/dispatch/discovery_event.go
+++ b/internal/platform/dispatch/discovery_event.go
@@ -33,6 +33,27 @@
 	Free        [2]float64 `json:"open"` // Free contains the number of free cores and the amount of free memory.
 }
 
+// startTimeRange is the range of start times in Unix milliseconds. Its end lies some 30,000 years ahead.
+var startTimeRange = figureRange{0, 1e15}
+
+// freeIsValid reports whether the free capacity is in range.
+func (e *nodeEntry) freeIsValid() bool {
+	valid := figureRange{-maxResourceAmount, maxResourceAmount}
+	return valid.contains(e.Free[0]) && valid.contains(e.Free[1])
+}
+
+// invalidFigure returns an error that names the first entry with a figure that is out of range, and nil if
+// there is none.
+func (l *nodeList) invalidFigure() error {
+	for i := range l.Nodes {
+		entry := &l.Nodes[i]
+		if !entry.freeIsValid() || !startTimeRange.contains(entry.StartedAtMS) {
+			return invalidMessage(InvalidFigure, "targets[%d] (node %.40q): free capacity %g or start time %g is out of range and left out", i, entry.UID, entry.Free, entry.StartedAtMS)
+		}
+	}
+	return nil
+}
+
 // initialEventList is the part of the platform's configuration that contains the discovery events from before
 // the scheduler start.
 type initialEventList struct {
--- a/internal/platform/dispatch/errors.go
+++ b/internal/platform/dispatch/errors.go
@@ -8,7 +8,7 @@
 // ErrClientNotConnected is returned for a message on a client connection that is not open.
 var ErrClientNotConnected = errors.New("client connection is not open")
 
-// InvalidReason is the reason why a message of a client is invalid. Its values appear in logs and as metric
+// InvalidReason is the reason why a message of a client, or a part of a message of a node, is invalid. Its values appear in logs and as metric
 // labels.
 type InvalidReason string
 
@@ -23,9 +23,11 @@
 	InvalidNode     InvalidReason = "at"        // The adoption request names a node that is not in the node registry.
 	InvalidIDInUse  InvalidReason = "id in use" // The launch message has the ID of another placement request.
 	InvalidStop     InvalidReason = "stop"      // The Stop message refers to a request on another client connection.
+	InvalidFigure   InvalidReason = "figure"    // A figure in a message of a node is not a number or is out of range.
 )
 
-// InvalidMessageError is the error that Core.ReceiveFromClient returns for an invalid message.
+// InvalidMessageError is the error that Core.ReceiveFromClient returns for an invalid message, and that
+// Core.ReceiveFromNode returns for a message of which a part was left out.
 type InvalidMessageError struct {
 	Reason InvalidReason
 	Err    error
--- a/internal/platform/dispatch/fuzz_test.go
+++ b/internal/platform/dispatch/fuzz_test.go
@@ -38,7 +38,7 @@
 				}
 			}
 			for i := 1; i <= 3; i++ {
-				harness.core.ReceiveFromNode(harness.now, nodeID(i), &msg)
+				_ = harness.core.ReceiveFromNode(harness.now, nodeID(i), &msg)
 			}
 			harness.core.Ready()
 			harness.now += 0.1
--- a/internal/platform/dispatch/harness_test.go
+++ b/internal/platform/dispatch/harness_test.go
@@ -149,7 +149,7 @@
 	if msg.Kind == protocol.Stop {
 		delete(harness.running, attemptKey{attempt.Node, msg.ID})
 	}
-	harness.core.ReceiveFromNode(harness.now, attempt.Node, &msg)
+	harness.receiveNodeMessage(attempt.Node, &msg)
 	return harness.carryOutEffects()
 }
 
@@ -164,7 +164,14 @@
 // reportEnd makes a node report the end of a task. It does not call carryOutEffects.
 func (harness *coreHarness) reportEnd(node placer.NodeID, id protocol.ID, cause protocol.Cause) {
 	msg := newMessage(protocol.Stop, id, cause)
-	harness.core.ReceiveFromNode(harness.now, node, &msg)
+	harness.receiveNodeMessage(node, &msg)
+}
+
+// receiveNodeMessage passes a message of a node, all figures of which are valid, to the core.
+func (harness *coreHarness) receiveNodeMessage(node placer.NodeID, msg *protocol.Message) {
+	if err := harness.core.ReceiveFromNode(harness.now, node, msg); err != nil {
+		harness.t.Fatalf("core left out a part of message %v of a node: %v, want no error", msg, err)
+	}
 }
 
 // migrateTask executes a Migrate action of the placer for a running task. It does not call carryOutEffects.
--- a/internal/platform/dispatch/node.go
+++ b/internal/platform/dispatch/node.go
@@ -53,7 +53,8 @@
 	return now - n.stateChangedAt
 }
 
-// update updates the node from a valid entry of a node list. The parameters zone and nodeType are the indexes
+// update updates the node from a valid entry of a node list. It leaves out figures that are out of range: the
+// node then keeps its free capacity, and counts as started long ago. The parameters zone and nodeType are the indexes
 // that the placer uses for the zone and the node type of the entry.
 func (n *Node) update(entry *nodeEntry, zone, nodeType int, now placer.Seconds) {
 	state, _ := parseNodeState(entry.State) // The state is valid, since discoveryEvent.validate has checked it.
@@ -62,15 +63,22 @@
 		n.stateChangedAt = now
 	}
 	n.Addr = entry.Endpoint
-	n.StartedAt = placer.Seconds(entry.StartedAtMS / millisecondsPerSecond)
+	n.StartedAt = 0
+	if startTimeRange.contains(entry.StartedAtMS) {
+		n.StartedAt = placer.Seconds(entry.StartedAtMS / millisecondsPerSecond)
+	}
+	free := entry.Free
+	if !entry.freeIsValid() {
+		free = [2]float64{n.placerNode.FreeCores, n.placerNode.FreeMemory}
+	}
 	n.placerNode = placer.Node{
 		ID:         n.ID,
 		Zone:       zone,
 		Rack:       entry.Rack,
 		NodeType:   nodeType,
 		State:      n.State,
-		FreeCores:  entry.Free[0],
-		FreeMemory: entry.Free[1],
+		FreeCores:  free[0],
+		FreeMemory: free[1],
 		StartedAt:  n.StartedAt,
 	}
 }
--- a/internal/platform/dispatch/node_message.go
+++ b/internal/platform/dispatch/node_message.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"strconv"
-
 	"heathshed/internal/platform/protocol"
 	"heathshed/placer"
 )
@@ -31,13 +29,23 @@
 // nodeMessageHandler handles the messages that nodes send.
 type nodeMessageHandler struct {
 	*sharedState
+	nodes             *nodeRegistry
 	attempts          *attemptTable
 	tasks             *taskController
 	earlyTerminations *earlyTerminationLog
 }
 
 // receive implements Core.ReceiveFromNode: it handles one message of a node.
-func (h *nodeMessageHandler) receive(node placer.NodeID, msg *protocol.Message) {
+func (h *nodeMessageHandler) receive(node placer.NodeID, msg *protocol.Message) error {
+	figures := h.parseNodeFigures(h.nodes.get(node), msg)
+	h.handle(node, msg, &figures)
+	if figures.invalid != "" {
+		return invalidMessage(InvalidFigure, "message %s %s: figure %.40q left out", msg.Kind, msg.UID, figures.invalid)
+	}
+	return nil
+}
+
+func (h *nodeMessageHandler) handle(node placer.NodeID, msg *protocol.Message, figures *nodeFigures) {
 	key := attemptKey{node, msg.ID}
 	attempt := h.attempts.get(key)
 	if attempt == nil || attempt.state == attemptPending {
@@ -48,9 +56,9 @@
 	case protocol.Running:
 		h.handleRunning(attempt, msg)
 	case protocol.Stop:
-		h.handleStop(attempt, msg)
+		h.handleStop(attempt, msg, figures)
 	case protocol.Update:
-		h.handleUpdate(attempt, msg)
+		h.handleUpdate(attempt, msg, figures)
 	}
 }
 
@@ -67,20 +75,20 @@
 }
 
 // handleUpdate handles an Update message: it passes the resource usage that a node measured for a running
-// task to the placer.
-func (h *nodeMessageHandler) handleUpdate(attempt *Attempt, msg *protocol.Message) {
+// task to the placer. It ignores a message without a valid value, unless the message reports that the task has
+// started.
+func (h *nodeMessageHandler) handleUpdate(attempt *Attempt, msg *protocol.Message, figures *nodeFigures) {
 	kind, known := usageKindsByNote[msg.Get(protocol.Note)]
-	if !known || attempt.state != attemptRunning || attempt.request.state.isFinal() {
+	if !known || !figures.hasUsage && kind != placer.Started || attempt.state != attemptRunning || attempt.request.state.isFinal() {
 		return
 	}
-	value, _ := strconv.ParseFloat(msg.Get(protocol.Value), 64) // A text that is not a number counts as 0.
 	h.postEvent(placer.Event{
 		Kind:    placer.UsageReported,
 		TaskID:  attempt.request.taskID,
 		Attempt: attempt.number,
 		Node:    attempt.Node,
 		Usage:   kind,
-		Value:   value,
+		Value:   figures.usage,
 	})
 }
 
@@ -116,12 +124,12 @@
 
 // handleStop handles a Stop message. A node sends a Stop message to reject an attempt or to report the end of
 // a task.
-func (h *nodeMessageHandler) handleStop(attempt *Attempt, msg *protocol.Message) {
+func (h *nodeMessageHandler) handleStop(attempt *Attempt, msg *protocol.Message, figures *nodeFigures) {
 	switch attempt.state {
 	case attemptSent:
-		h.handleStopBeforeAnswer(attempt, msg)
+		h.handleStopBeforeAnswer(attempt, msg, figures)
 	case attemptRunning:
-		h.tasks.endTask(attempt, h.stopOutcome(msg, taskResult(msg.Cause)), msg.Cause)
+		h.tasks.endTask(attempt, stopOutcome(msg, figures, taskResult(msg.Cause)), msg.Cause)
 	case attemptAbandoned:
 		h.attempts.remove(attempt)
 		h.earlyTerminations.add(attempt.key(), msg.Cause)
@@ -142,9 +150,9 @@
 
 // handleStopBeforeAnswer handles a Stop message for an attempt that its node has not answered. Either the
 // node did not accept the attempt, or the Running message of the node was lost or has not arrived yet.
-func (h *nodeMessageHandler) handleStopBeforeAnswer(attempt *Attempt, msg *protocol.Message) {
+func (h *nodeMessageHandler) handleStopBeforeAnswer(attempt *Attempt, msg *protocol.Message, figures *nodeFigures) {
 	h.attempts.remove(attempt)
-	outcome := h.stopOutcome(msg, placer.Lost)
+	outcome := stopOutcome(msg, figures, placer.Lost)
 	switch msg.Cause {
 	case protocol.CauseNoCapacity:
 		h.counts.CapacityRejections++
@@ -174,10 +182,10 @@
 
 // stopOutcome returns an outcome that contains the given result, and the reason and the load report of a Stop
 // message.
-func (h *nodeMessageHandler) stopOutcome(msg *protocol.Message, result placer.Result) attemptOutcome {
+func stopOutcome(msg *protocol.Message, figures *nodeFigures, result placer.Result) attemptOutcome {
 	return attemptOutcome{
 		result: result,
 		reason: stopReasonsByNote[msg.Get(protocol.Note)],
-		report: parseLoadReport(h.settings.ReportFields, msg),
+		report: figures.report,
 	}
 }
--- a/internal/platform/dispatch/node_registry.go
+++ b/internal/platform/dispatch/node_registry.go
@@ -141,10 +141,11 @@
 		return false, err
 	}
 	r.lastDiscoveryEvent = event.Number
-	if event.NodeList != nil {
-		r.handleNodeList(event.NodeList, changedNodes)
+	if event.NodeList == nil {
+		return true, nil
 	}
-	return true, nil
+	r.handleNodeList(event.NodeList, changedNodes)
+	return true, event.NodeList.invalidFigure()
 }
 
 // applyEvent adds or updates the nodes in the node list of a discovery event, and returns these nodes. An
--- a/internal/platform/server/discovery.go
+++ b/internal/platform/server/discovery.go
@@ -175,6 +175,11 @@
 	if err == nil && !inSequence {
 		err = errEventGap
 	}
+	if err != nil && inSequence {
+		s.stats.InvalidFromDiscovery.add(err)
+		s.warn("figure of the node list left out", stream.watch.addr, err)
+		err = nil
+	}
 	if err != nil {
 		stream.failure = err
 		return
--- a/internal/platform/server/node_conn.go
+++ b/internal/platform/server/node_conn.go
@@ -205,7 +205,10 @@
 		nc.handleChecked(nc.message.ID)
 		return countsTowardsLineLimit, nil
 	}
-	s.core.ReceiveFromNode(s.coreNow(), nc.link.id, &nc.message)
+	if err := s.core.ReceiveFromNode(s.coreNow(), nc.link.id, &nc.message); err != nil {
+		s.stats.InvalidFromNodes.add(err)
+		s.warn("figure of a node left out", nc.conn.Peer(), err)
+	}
 	return countsTowardsLineLimit, nil
 }
 
--- a/internal/platform/server/node_link_test.go
+++ b/internal/platform/server/node_link_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"heathshed/placer"
 )
 
 // TestTaskEndRedeliveredAfterCorruptMessage checks that the server connects to a node again after it has
@@ -343,3 +345,39 @@
 		}
 	})
 }
+
+// TestInvalidFiguresOfNode guards against a node whose load reports spoil what the scheduler has learned of all
+// nodes: after reports that are no numbers, requests must still be placed, and the reports must be counted.
+func TestInvalidFiguresOfNode(t *testing.T) {
+	node := startNode(t, func(conn net.Conn, line string) error {
+		if err := acceptTask(conn, line); err != nil || !isLaunch(line) {
+			return err
+		}
+		uid := taskUID(line)
+		load := [...]string{"x0:NaN;x1:NaN", "x0:inf;x1:-inf", "x0:1e308;x1:1e999"}[uid[len(uid)-1]%3]
+		return respond(conn, `{"kind":"stop","uid":%q,"meta":{"load":%q},"reason":16}`+"\n", uid, load)
+	})
+	discovery := startDiscoveryServer(t)
+	settings := strings.Replace(testSettings, `"coresByKind"`, `"counts":"used","coresByKind"`, 1)
+	event := discoveryEventJSON(1, nodeEntryJSON(8, node.addr, "in_service")) // Of node 8, most of the capacity is requested.
+	config, err := ParseConfig(configText(discovery.addr(), 256, event, settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	policy, err := placer.New(config.Settings.Placer, config.Seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := runServer(t, config, policy)
+	client := server.connect()
+	const taskCount = 60
+	for i := range taskCount {
+		client.runTask(i+1, "query")
+		client.expectMessage(`"stop"`, `"reason":16`)
+	}
+	server.runOnLoop(func() {
+		if invalid := server.stats.InvalidFromNodes.Figure; invalid != taskCount {
+			t.Errorf("the server counted %d messages of nodes with invalid figures, want %d", invalid, taskCount)
+		}
+	})
+}
--- a/internal/platform/server/stats.go
+++ b/internal/platform/server/stats.go
@@ -32,8 +32,9 @@
 	WatchEvents           uint64 // WatchEvents counts events received from the discovery server, including repeated ones.
 	IllegalTransitions    uint64 // IllegalTransitions counts illegal transitions of connection states, which are programming errors.
 
-	InvalidFromClients InvalidInput
-	InvalidFromNodes   InvalidInput
+	InvalidFromClients   InvalidInput
+	InvalidFromNodes     InvalidInput
+	InvalidFromDiscovery InvalidInput
 }
 
 // InvalidInput is a set of counters of rejected messages and lines, with one counter for each reason for which
@@ -44,6 +45,7 @@
 	Class           uint64 `json:"class,omitempty"`      // Class counts requests with a task class that the settings do not contain.
 	Extras          uint64 `json:"extras,omitempty"`     // Extras counts requests whose field protocol.Extras is malformed or incomplete.
 	DuplicateID     uint64 `json:"id in use,omitempty"`  // DuplicateID counts requests with the ID of an open request or running task.
+	Figure          uint64 `json:"figure,omitempty"`     // Figure counts messages of nodes with a figure that is not a number or is out of range.
 	Key             uint64 `json:"key,omitempty"`        // Key counts requests whose field protocol.Key is malformed.
 	TimeLeft        uint64 `json:"left,omitempty"`       // TimeLeft counts requests whose remaining time is malformed or out of range.
 	LineTooLong     uint64 `json:"long line,omitempty"`  // LineTooLong counts lines that are too long; the connection is then closed.
@@ -81,6 +83,8 @@
 		return &counters.Extras
 	case dispatch.InvalidIDInUse:
 		return &counters.DuplicateID
+	case dispatch.InvalidFigure:
+		return &counters.Figure
 	case dispatch.InvalidKey:
 		return &counters.Key
 	case dispatch.InvalidTimeLeft:
--- a/internal/simbridge/simadapter/equivalence_drivers_test.go
+++ b/internal/simbridge/simadapter/equivalence_drivers_test.go
@@ -187,5 +187,7 @@
 // sendFromNode sends the dispatch core a message about a task from the node of the task's attempt.
 func (drivers *driverPair) sendFromNode(id uint64, message protocol.Message) {
 	message.ID, message.UID = protocol.ID(id), fmt.Sprintf("%016x", id)
-	drivers.core.ReceiveFromNode(drivers.now, drivers.platformAttempts[id].Node, &message)
+	if err := drivers.core.ReceiveFromNode(drivers.now, drivers.platformAttempts[id].Node, &message); err != nil {
+		drivers.t.Fatal(err)
+	}
 }
