The slots for handed-over tasks are divided among the clients

Cause: requestTable.isFull was the only bound, and counts what nobody can check on arrival beside everything else.

Change: adoptionQuota. When all are taken, a hand-over takes one from the connection that has the most, of the address that has the most. A hand-over without a slot is not answered: `stop` 42 tells its owner that it may start the task again, while it runs. ClientConnected takes the address of the client.

Tests: TestAdoptionQuota (1, 10 and 100 strangers, at addresses of their own and at one): 50 sound clients hand over 2,000 of 2,000 tasks and a new request is accepted. TestStrangerRequestsManyAdoptions on real connections failed before. TestTooManyTasks fills the table with tasks that nodes confirm, as the table is filled by nothing less now. Golden file of dispatch: one line, the scenario that exceeds the bound with hand-overs.

--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -137,6 +137,9 @@
 // Peer returns the address of the peer.
 func (c *Conn) Peer() string { return c.peer.String() }
 
+// PeerHost returns the address of the peer's host, without the port.
+func (c *Conn) PeerHost() string { return c.peer.Addr().String() }
+
 // Loop returns the loop that the connection belongs to.
 func (c *Conn) Loop() *Loop { return c.loop }
 
--- a/internal/platform/dispatch/adoption.go
+++ b/internal/platform/dispatch/adoption.go
@@ -42,7 +42,9 @@
 }
 
 // adopt handles an adoption request: it adds the task as a running task of the node that the message names.
-// If that node is not in the node registry, adopt returns an *InvalidMessageError.
+// If that node is not in the node registry, adopt returns an *InvalidMessageError. If no slot is left for the
+// client, adopt ignores the request: an answer would tell the client that its task is over, and the client would
+// start the task again.
 func (a *adoption) adopt(client *clientConn, msg *protocol.Message, parsedReq parsedRequest) error {
 	a.counts.Adopted++
 	a.lastAdoptionRequestAt = a.now
@@ -62,9 +64,18 @@
 		a.notifier.notifyOnConn(client, replyTo(msg, protocol.Stop, termination.cause))
 		return nil
 	}
+	displaced, ok := a.attempts.quota.reserve(client)
+	if !ok || a.requests.isFull() && displaced == nil {
+		a.counts.AdoptionsIgnored++
+		return nil
+	}
+	if displaced != nil {
+		a.counts.AdoptionsIgnored++
+		a.tasks.dropAdopted(displaced)
+	}
 	task := parsedReq.task
 	req := a.requests.addAdopted(client.id, msg, &task)
-	attempt := a.attempts.addAdopted(req, node.ID)
+	attempt := a.attempts.addAdopted(req, node.ID, client)
 	a.postEvent(placer.Event{Kind: placer.Adopted, TaskID: req.taskID, Task: task, Node: node.ID})
 	a.addEffect(Effect{Kind: ConnectNode, Attempt: attempt})
 	return nil
--- a/internal/platform/dispatch/attempt.go
+++ b/internal/platform/dispatch/attempt.go
@@ -27,9 +27,13 @@
 	createdAt    placer.Seconds // createdAt is when the placer requested the attempt or when the task was adopted.
 	runningSince placer.Seconds // runningSince is when the node's acceptance arrived or when the task was adopted.
 	timer        *timerqueue.Timer[placer.Seconds]
-	stopOrdered  bool           // stopOrdered is set if the node was ordered to stop the running task.
-	stopCause    protocol.Cause // stopCause is the cause of the stop order.
-	awaitedCheck uint64         // awaitedCheck is the number of the check that the node has not answered, or 0.
+	// unverifiedOf contains the attempt until the node has sent a message about the adopted task. It is nil for
+	// other attempts, and unverifiedIndex is the position in it.
+	unverifiedOf    *connAdoptions
+	unverifiedIndex int
+	stopOrdered     bool           // stopOrdered is set if the node was ordered to stop the running task.
+	stopCause       protocol.Cause // stopCause is the cause of the stop order.
+	awaitedCheck    uint64         // awaitedCheck is the number of the check that the node has not answered, or 0.
 }
 
 // Live reports whether the attempt is live: either it waits for the answer of its node, or its task runs.
--- a/internal/platform/dispatch/attempt_table.go
+++ b/internal/platform/dispatch/attempt_table.go
@@ -21,13 +21,14 @@
 	*sharedState
 	nodes  *nodeRegistry
 	checks *nodeChecks
+	quota  *adoptionQuota
 
 	byKey              map[attemptKey]*Attempt
 	illegalTransitions int // illegalTransitions counts the transitions that attemptStates does not allow.
 }
 
 func newAttemptTable(shared *sharedState, nodes *nodeRegistry, checks *nodeChecks) *attemptTable {
-	return &attemptTable{sharedState: shared, nodes: nodes, checks: checks, byKey: map[attemptKey]*Attempt{}}
+	return &attemptTable{sharedState: shared, nodes: nodes, checks: checks, quota: newAdoptionQuota(), byKey: map[attemptKey]*Attempt{}}
 }
 
 // get returns the attempt with the given key, or nil if the table contains no such attempt.
@@ -69,8 +70,8 @@
 	return len(req.attempts) <= t.settings.Placer.Attempts.Max && t.nodes.get(attempt.Node) != nil
 }
 
-// addAdopted adds an attempt for a task that already runs on a node.
-func (t *attemptTable) addAdopted(req *request, node placer.NodeID) *Attempt {
+// addAdopted adds an attempt for a task that already runs on a node, according to the given client.
+func (t *attemptTable) addAdopted(req *request, node placer.NodeID, client *clientConn) *Attempt {
 	attempt := &Attempt{
 		Node:         node,
 		Message:      req.launchMessage(),
@@ -80,11 +81,15 @@
 		runningSince: t.now,
 	}
 	req.addAttempt(attempt)
+	t.quota.add(client, attempt)
 	t.byKey[attempt.key()] = attempt
 	t.nodes.addRunningAttempt(attempt)
 	return attempt
 }
 
+// verify records that the node of an attempt has sent a message about the task, so that an adopted task exists.
+func (t *attemptTable) verify(attempt *Attempt) { t.quota.remove(attempt) }
+
 // expire ends an attempt that was not answered before its expiry time.
 func (t *attemptTable) expire(attempt *Attempt) {
 	if attempt.state == attemptPending { // The connection to the node was not established in time.
@@ -232,6 +237,7 @@
 		delete(t.byKey, key)
 	}
 	t.checks.cancel(attempt)
+	t.quota.remove(attempt)
 	t.nodes.removeRunningAttempt(attempt)
 	t.transition(attempt, attemptTerminated)
 }
--- a/internal/platform/dispatch/client_message.go
+++ b/internal/platform/dispatch/client_message.go
@@ -71,13 +71,13 @@
 	if err != nil {
 		return err
 	}
+	if parsedReq.isAdoption() {
+		return h.adoption.adopt(client, msg, parsedReq)
+	}
 	if h.requests.isFull() {
 		h.clients.send(client.id, replyTo(msg, protocol.Stop, protocol.CauseOverloaded))
 		return nil
 	}
-	if parsedReq.isAdoption() {
-		return h.adoption.adopt(client, msg, parsedReq)
-	}
 	h.counts.Accepted++
 	task := parsedReq.task
 	req := h.requests.addNew(client.id, msg, &task)
--- a/internal/platform/dispatch/client_registry.go
+++ b/internal/platform/dispatch/client_registry.go
@@ -15,6 +15,7 @@
 // clientConn is the state of one client connection, and is owned by clientRegistry.
 type clientConn struct {
 	id           ConnID
+	address      string         // address is the host of the client.
 	identity     clientIdentity // identity is the strongest evidence that has arrived on the connection.
 	openRequests map[*request]struct{}
 	// lastPlacedAt is the last time at which the task of a request on this connection started or was adopted.
@@ -65,8 +66,8 @@
 }
 
 // connect adds a client connection.
-func (r *clientRegistry) connect(id ConnID) {
-	r.conns[id] = &clientConn{id: id, openRequests: map[*request]struct{}{}}
+func (r *clientRegistry) connect(id ConnID, address string) {
+	r.conns[id] = &clientConn{id: id, address: address, openRequests: map[*request]struct{}{}}
 }
 
 // disconnect removes a client connection and returns it. It returns nil if the connection is not open.
--- a/internal/platform/dispatch/core.go
+++ b/internal/platform/dispatch/core.go
@@ -148,10 +148,10 @@
 	}
 }
 
-// ClientConnected adds a new client connection.
-func (c *Core) ClientConnected(now placer.Seconds, connID ConnID) {
+// ClientConnected adds a new client connection. The parameter address identifies the host of the client.
+func (c *Core) ClientConnected(now placer.Seconds, connID ConnID, address string) {
 	c.setClock(now)
-	c.clients.connect(connID)
+	c.clients.connect(connID, address)
 }
 
 // ClientDisconnected removes a client connection. The open requests of the connection are withdrawn, since
--- a/internal/platform/dispatch/counts.go
+++ b/internal/platform/dispatch/counts.go
@@ -8,6 +8,9 @@
 	// Adopted counts the adoption requests. An adoption request is a launch message that names the node on
 	// which the task already runs.
 	Adopted uint64
+	// AdoptionsIgnored counts the adoption requests that were ignored, or whose tasks were dropped again before a
+	// node confirmed them, because no slot was left for their client.
+	AdoptionsIgnored uint64
 	// Accepted counts the valid new placement requests. The core passes these requests to the placer.
 	Accepted uint64
 	// Placed counts the new placement requests that were answered with a Running message.
--- a/internal/platform/dispatch/node_message.go
+++ b/internal/platform/dispatch/node_message.go
@@ -52,6 +52,7 @@
 		h.handleUnmatchedMessage(key, attempt, msg)
 		return
 	}
+	h.attempts.verify(attempt)
 	switch msg.Kind {
 	case protocol.Running:
 		h.handleRunning(attempt, msg)
--- a/internal/platform/dispatch/task.go
+++ b/internal/platform/dispatch/task.go
@@ -225,6 +225,16 @@
 	}
 }
 
+// dropAdopted drops an adopted task that no node has confirmed, to make room for another one. The client is not
+// notified: if the task runs, it runs on.
+func (t *taskController) dropAdopted(attempt *Attempt) {
+	req := attempt.request
+	t.attempts.remove(attempt)
+	t.requests.transition(req, requestTerminated)
+	t.attempts.postAttemptEnded(attempt, attemptOutcome{result: placer.Cancelled})
+	t.requests.remove(req)
+}
+
 // endUnconfirmedTask ends a task whose node has not confirmed in time that it stopped the task. The client was
 // notified before. The order is kept for the time when the node can be reached again.
 func (t *taskController) endUnconfirmedTask(attempt *Attempt) {
--- a/internal/platform/server/client_table.go
+++ b/internal/platform/server/client_table.go
@@ -38,7 +38,7 @@
 	now := s.loop.Now()
 	client := &clientConn{server: s, conn: conn, id: table.lastID, openedAt: now, lastMessageAt: now}
 	table.byID[client.id] = client
-	s.core.ClientConnected(s.coreNow(), client.id)
+	s.core.ClientConnected(s.coreNow(), client.id, conn.PeerHost())
 	if len(table.byID) >= table.maxConns-reservedClientSlots {
 		table.evict()
 	}
