An attempt that waits for a connection is not sent to a node that drains meanwhile

What callers saw: on the Kubernetes front a drain begins while attempts for the node wait for a connection, and they are sent when it comes up, up to connectTimeout later.

Cause: the engine decides when it emits SendAttempt, and httpc sends the request whenever a connection is there.

Change: Engine.MaySendAttempt is asked immediately before the request is sent (httpc.Call.MaySend), as Core.PrepareSend is on the platform. An attempt that is not sent counts as expired.

A case in TestErrors of httpc.

--- a/internal/kube/engine/attempt.go
+++ b/internal/kube/engine/attempt.go
@@ -118,6 +118,16 @@
 	})
 }
 
+// maySend implements Engine.MaySendAttempt.
+func (t *attemptTracker) maySend(uid types.UID, attemptNumber int) bool {
+	task := t.tasks.get(uid)
+	if task == nil {
+		return false
+	}
+	inFlightAttempt := task.attempts.inFlightAttempt
+	return inFlightAttempt != nil && inFlightAttempt.number == attemptNumber && inFlightAttempt.node.state == placer.Ready
+}
+
 // AttemptAnswer is a node's answer to SendAttempt, or the reason why the node did not answer.
 type AttemptAnswer struct {
 	UID         types.UID
@@ -141,6 +151,8 @@
 	switch a.Result {
 	case placer.Unreachable:
 		return a.Node + ": no connection"
+	case placer.Expired:
+		return a.Node + ": not sent, the node is not ready"
 	case placer.TimedOut:
 		return a.Node + timeoutMessageSuffix
 	case placer.Lost:
--- a/internal/kube/engine/calls.go
+++ b/internal/kube/engine/calls.go
@@ -20,6 +20,13 @@
 	e.attempts.handleAnswer(answer)
 }
 
+// MaySendAttempt reports whether an attempt may still be sent to its node: it is in flight, and its node is
+// ready. The caller asks immediately before it sends the attempt, because the attempt may have waited for a
+// connection.
+func (e *Engine) MaySendAttempt(uid types.UID, attemptNumber int) bool {
+	return e.attempts.maySend(uid, attemptNumber)
+}
+
 // DeletePod stops the task of a Pod. The Pod is removed from the store as soon as the task has ended.
 // DeletePod returns the Pod as stored at the end of the call, or as last stored if the call has removed
 // it. If uid or resourceVersion is not empty, it must match the stored Pod. The possible errors are
--- a/internal/kube/scheduler/attempt.go
+++ b/internal/kube/scheduler/attempt.go
@@ -55,6 +55,7 @@
 	key := attemptKey{effect.UID, effect.Attempt}
 	call := &httpc.Call{
 		AvoidUnknownOutcome: effect.AvoidUnknownOutcome,
+		MaySend:             func() bool { return s.engine.MaySendAttempt(answer.UID, answer.Attempt) },
 		OnDone: func(head *http1.Head, body []byte, err error) {
 			delete(s.attemptCalls, key)
 			decodeAttemptAnswer(&answer, head, body, err)
@@ -85,6 +86,9 @@
 func decodeAttemptAnswer(answer *engine.AttemptAnswer, head *http1.Head, body []byte, err error) {
 	var connectError *httpc.ConnectError
 	switch {
+	case errors.Is(err, httpc.ErrNotSent):
+		answer.Result = placer.Expired
+		return
 	case errors.As(err, &connectError):
 		answer.Result = placer.Unreachable
 		return
--- a/internal/netio/httpc/call.go
+++ b/internal/netio/httpc/call.go
@@ -23,6 +23,10 @@
 	// The server may be closing such a connection at that moment, and the client could not tell whether the
 	// server has read the request.
 	AvoidUnknownOutcome bool
+	// MaySend, if set, is called immediately before the request is sent. If it returns false, the request is
+	// not sent, and OnDone receives ErrNotSent, wrapped in a *ConnectError. A call may have waited for a
+	// connection, and the reason for the request may be gone.
+	MaySend func() bool
 
 	client *Client
 	// request holds the encoded bytes of the request, which are sent unchanged.
@@ -54,6 +58,9 @@
 	}
 }
 
+// withdrawn reports whether MaySend keeps the request from being sent.
+func (call *Call) withdrawn() bool { return call.MaySend != nil && !call.MaySend() }
+
 func (call *Call) finish(head *http1.Head, body []byte, err error) {
 	if call.finished {
 		return
--- a/internal/netio/httpc/client.go
+++ b/internal/netio/httpc/client.go
@@ -29,6 +29,8 @@
 	// ErrCancelled means that Call.Cancel was called, or that Client.Close was called while the call waited
 	// for a connection.
 	ErrCancelled = errors.New("call cancelled")
+	// ErrNotSent means that Call.MaySend returned false.
+	ErrNotSent = errors.New("request withdrawn before it was sent")
 )
 
 // ConnectError means that the request was never sent, because no connection had been established for the
--- a/internal/netio/httpc/conn.go
+++ b/internal/netio/httpc/conn.go
@@ -29,7 +29,20 @@
 	call.conn = c
 	c.call = call
 	c.decoder.ResponseHasNoBody = call.isHEAD
-	c.transport.Write(call.request)
+	c.writeRequest()
+}
+
+// writeRequest sends the request of the connection's call, unless the call is withdrawn. The connection is then
+// closed, because it may not be given to another call while this one ends.
+func (c *conn) writeRequest() {
+	call := c.call
+	if !call.withdrawn() {
+		c.transport.Write(call.request)
+		return
+	}
+	c.call = nil
+	c.client.loop.After(0, func() { call.finish(nil, nil, &ConnectError{ErrNotSent}) })
+	c.transport.Close()
 }
 
 // Opened implements eventloop.Handler.
@@ -40,7 +53,7 @@
 		transport.Close()
 		return
 	}
-	transport.Write(c.call.request)
+	c.writeRequest()
 }
 
 // Data implements eventloop.Handler.
--- a/internal/netio/httpc/httpc_test.go
+++ b/internal/netio/httpc/httpc_test.go
@@ -182,6 +182,7 @@
 		{name: "host name instead of a literal IP address", addr: "host:1", timeout: 5 * time.Second, neverSent: true},
 		{name: "call is cancelled before its connection is established", addr: silentServer, prepare: (*Call).Cancel, want: ErrCancelled, neverSent: true},
 		{name: "call is cancelled after its request was sent", addr: silentServer, prepare: cancelAfter(200 * time.Millisecond), want: ErrCancelled},
+		{name: "call is withdrawn before its request is sent", addr: silentServer, prepare: func(call *Call) { call.MaySend = func() bool { return false } }, want: ErrNotSent, neverSent: true},
 		{name: "server sends no response within the timeout of the call", addr: silentServer, timeout: 200 * time.Millisecond, want: ErrTimeout},
 	} {
 		t.Run(test.name, func(t *testing.T) {
