The end of a task is assumed where its node was terminated before it was listed

What callers see: the first thing that the scheduler hears of a node is that it has terminated; a client hands over a task of the node and is never told of its end.

Cause: a new node begins as terminated, so Node.update records no change of state, and scheduleTaskLoss takes the time 0 for a timer that runs already.

Change: a new node has the time at which it was first listed.

Test: TestNodeFirstListedAsTerminated failed before.

--- a/internal/platform/dispatch/node_registry.go
+++ b/internal/platform/dispatch/node_registry.go
@@ -171,7 +171,7 @@
 	id := r.idOf(entry.UID)
 	node := r.nodes[id]
 	if node == nil {
-		node = &Node{ID: id, UID: entry.UID, State: placer.Terminated, runningAttempts: map[*Attempt]struct{}{}}
+		node = &Node{ID: id, UID: entry.UID, State: placer.Terminated, stateChangedAt: r.now, runningAttempts: map[*Attempt]struct{}{}}
 		r.nodes[id] = node
 	}
 	node.update(entry, slices.Index(r.settings.ZoneNames, entry.Zone), slices.Index(r.settings.NodeTypeNames, entry.NodeType), r.now)
--- a/internal/platform/dispatch/node_registry_test.go
+++ b/internal/platform/dispatch/node_registry_test.go
@@ -142,3 +142,17 @@
 		t.Errorf("node registry has %d running tasks, %d nodes and %d timers, want 0 of each", registry.runningTasks(), len(registry.nodes), registry.timers.Len())
 	}
 }
+
+// TestNodeFirstListedAsTerminated guards against a client that never learns of the end of its task: the node of
+// an adopted task has terminated before the scheduler heard of the node.
+func TestNodeFirstListedAsTerminated(t *testing.T) {
+	harness := newHarness(t, &fixedNodePlacer{})
+	harness.deliverDiscoveryEvent(false, nodeJSON(9, "terminated", 0))
+	id := harness.requestAdoption(harness.connect(), 9)
+
+	harness.advanceClock(TerminationGrace + 0.01)
+
+	if notifications := harness.clientRecords[id].notificationCount; notifications != 1 || harness.core.RunningTasks() != 0 {
+		t.Errorf("the client received %d notifications and %d tasks run, want 1 notification and no running task", notifications, harness.core.RunningTasks())
+	}
+}
