A dry run of an eviction changes nothing

What callers see: POST pods/NAME/eviction?dryRun=All stops the task of the Pod; so does dryRun in the body's deleteOptions.

Cause: Server.evictPod did not read dryRun, which all other writes do.

Change: Engine.EvictPod has a parameter for a dry run and then only checks.

Test: TestEvictionDryRun over HTTP, both places of dryRun, failed before.

--- a/internal/kube/api/delete.go
+++ b/internal/kube/api/delete.go
@@ -141,7 +141,8 @@
 	return s.Engine.DeleteJob(s.now, o.GetNamespace(), o.GetName(), uid, resourceVersion, propagationPolicy)
 }
 
-// evictPod serves POST requests that create an Eviction object. Such a request evicts a Pod.
+// evictPod serves POST requests that create an Eviction object. Such a request evicts a Pod, unless it is a dry
+// run.
 func (s *Server) evictPod(r *request) (http1.Response, error) {
 	var eviction policyv1.Eviction
 	if err := r.decode(&eviction, "Eviction"); err != nil {
@@ -150,7 +151,15 @@
 	if eviction.Name != "" && eviction.Name != r.name {
 		return http1.Response{}, apierrors.NewBadRequest("name in URL does not match name in Eviction object")
 	}
-	if err := s.Engine.EvictPod(s.now, r.namespace, r.name, evictionUID(&eviction)); err != nil {
+	var bodyDryRun []string
+	if eviction.DeleteOptions != nil {
+		bodyDryRun = eviction.DeleteOptions.DryRun
+	}
+	dryRun, err := r.dryRun(bodyDryRun)
+	if err != nil {
+		return http1.Response{}, err
+	}
+	if err := s.Engine.EvictPod(s.now, r.namespace, r.name, evictionUID(&eviction), dryRun); err != nil {
 		return http1.Response{}, r.toStatusError(err, r.name)
 	}
 	return jsonResponse(http.StatusCreated, &metav1.Status{
--- a/internal/kube/engine/calls.go
+++ b/internal/kube/engine/calls.go
@@ -38,12 +38,12 @@
 }
 
 // EvictPod stops the task of a running Pod, and the Job then starts a new task in its place. If the Pod is
-// not running, EvictPod deletes the Pod. If uid is not empty, it must match the stored Pod. The possible
-// errors are ErrNotFound, ErrConflict and ErrStopping.
-func (e *Engine) EvictPod(now placer.Seconds, namespace, name string, uid types.UID) error {
+// not running, EvictPod deletes the Pod. If uid is not empty, it must match the stored Pod. A dry run
+// changes nothing. The possible errors are ErrNotFound, ErrConflict and ErrStopping.
+func (e *Engine) EvictPod(now placer.Seconds, namespace, name string, uid types.UID, dryRun bool) error {
 	e.beginCall(now)
 	defer e.endCall()
-	return e.podController.evict(namespace, name, uid)
+	return e.podController.evict(namespace, name, uid, dryRun)
 }
 
 // CreateJob stores a Job and starts its tasks. The API server has already validated the Job and has set
--- a/internal/kube/engine/pod_controller.go
+++ b/internal/kube/engine/pod_controller.go
@@ -43,18 +43,22 @@
 // evict implements Engine.EvictPod. It stops the running task of a Pod, and the Job of the task then
 // starts a new task in its place. If the task of the Pod is not running, evict deletes the Pod. After
 // Engine.Stop, evict returns ErrStopping for a running task, because no Job starts a new task.
-func (c *podController) evict(namespace, name string, uid types.UID) error {
+func (c *podController) evict(namespace, name string, uid types.UID, dryRun bool) error {
 	pod, err := c.find(namespace, name, uid, "")
 	if err != nil {
 		return err
 	}
 	task := c.tasks.get(pod.UID)
-	if task == nil || task.attempts.runningAttempt == nil {
-		c.delete(pod, stopEvicted)
+	isRunning := task != nil && task.attempts.runningAttempt != nil
+	if isRunning && c.stopping {
+		return ErrStopping
+	}
+	if dryRun {
 		return nil
 	}
-	if c.stopping {
-		return ErrStopping
+	if !isRunning {
+		c.delete(pod, stopEvicted)
+		return nil
 	}
 	c.lifecycle.stopForRestart(task, stopEvicted)
 	return nil
--- a/internal/kube/engine/script_calls_test.go
+++ b/internal/kube/engine/script_calls_test.go
@@ -161,7 +161,7 @@
 		uid = "other"
 	}
 	if evict {
-		s.recordResult(nil, s.engine.EvictPod(s.now, object.GetNamespace(), name, uid))
+		s.recordResult(nil, s.engine.EvictPod(s.now, object.GetNamespace(), name, uid, false))
 		return
 	}
 	s.recordResult(s.engine.DeletePod(s.now, object.GetNamespace(), name, uid, ""))
--- a/internal/kube/engine/task_stop_test.go
+++ b/internal/kube/engine/task_stop_test.go
@@ -18,7 +18,7 @@
 			return nil
 		}, nil},
 		{"API client evicts the Pod", func(engine *Engine, task *task) error {
-			return engine.EvictPod(createdAt+2, task.namespace, task.name, task.uid)
+			return engine.EvictPod(createdAt+2, task.namespace, task.name, task.uid, false)
 		}, ErrStopping},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/kube/scheduler/drain_test.go
+++ b/internal/kube/scheduler/drain_test.go
@@ -53,3 +53,25 @@
 		t.Errorf("draining nodes received %d attempts, want none", received)
 	}
 }
+
+// TestEvictionDryRun guards against an eviction that is meant as a dry run and stops a task.
+func TestEvictionDryRun(t *testing.T) {
+	cluster := startCluster(t, nil)
+	cluster.submitJob(longJob("a", "batch", 1, 0))
+	cluster.waitUntilRunning(1)
+	path := "/api/v1/namespaces/default/pods/" + cluster.running()[0].Name + "/eviction"
+	for name, request := range map[string]struct{ query, body string }{
+		"in the query": {"?dryRun=All", `{"apiVersion":"policy/v1","kind":"Eviction"}`},
+		"in the body":  {"", `{"apiVersion":"policy/v1","kind":"Eviction","deleteOptions":{"dryRun":["All"]}}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cluster.requireStatus(201, "POST", path+request.query, jsonType, request.body)
+			var stopOrders uint64
+			cluster.runOnLoop(func() { stopOrders = cluster.scheduler.engine.Stats.Stops })
+			if stopOrders != 0 {
+				t.Errorf("the scheduler has sent %d orders to stop a task, want none", stopOrders)
+			}
+		})
+	}
+	cluster.requireStatus(404, "POST", "/api/v1/namespaces/default/pods/missing/eviction?dryRun=All", jsonType, `{"apiVersion":"policy/v1","kind":"Eviction"}`)
+}
