--- a/internal/platform/server/fixture_test.go
+++ b/internal/platform/server/fixture_test.go
@@ -125,8 +125,20 @@
 	for i, addr := range nodeAddrs {
 		entries[i] = nodeEntryJSON(i+1, addr, "in_service")
 	}
+	return startConfiguredServer(t, openFileLimit, testSettings, ownPlacer, entries...)
+}
+
+// ownPlacer returns the placer unchanged.
+func ownPlacer(policy eventqueue.Placer) eventqueue.Placer { return policy }
+
+// startConfiguredServer starts a server with the given settings, whose configuration lists the given nodes. The
+// server uses the result of wrapPlacer as its placer.
+func startConfiguredServer(
+	t *testing.T, openFileLimit int, settings string, wrapPlacer func(eventqueue.Placer) eventqueue.Placer, nodeEntries ...string,
+) *testServer {
+	t.Helper()
 	discovery := startDiscoveryServer(t)
-	config, err := ParseConfig(configText(discovery.addr(), openFileLimit, discoveryEventJSON(1, entries...), testSettings))
+	config, err := ParseConfig(configText(discovery.addr(), openFileLimit, discoveryEventJSON(1, nodeEntries...), settings))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -134,7 +146,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := runServer(t, config, policy)
+	server := runServer(t, config, wrapPlacer(policy))
 	server.discovery = discovery
 	return server
 }
--- a/internal/platform/server/migration_test.go
+++ b/internal/platform/server/migration_test.go
@@ -69,17 +69,8 @@
 func startMigration(t *testing.T, node *migratedNode) (*testNode, *testServer, *testClient) {
 	t.Helper()
 	listeningNode := startNode(t, node.handle)
-	discovery := startDiscoveryServer(t)
-	event := discoveryEventJSON(1, nodeEntryJSON(1, listeningNode.addr, "in_service"))
-	config, err := ParseConfig(configText(discovery.addr(), 256, event, testSettings))
-	if err != nil {
-		t.Fatal(err)
-	}
-	policy, err := placer.New(config.Settings.Placer, config.Seed)
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := runServer(t, config, migratingPlacer{policy})
+	migrate := func(policy eventqueue.Placer) eventqueue.Placer { return migratingPlacer{policy} }
+	server := startConfiguredServer(t, 256, testSettings, migrate, nodeEntryJSON(1, listeningNode.addr, "in_service"))
 	client := server.connect()
 	client.runTask(1, "seats")
 	return listeningNode, server, client
--- a/internal/platform/server/node_link_test.go
+++ b/internal/platform/server/node_link_test.go
@@ -10,8 +10,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"heathshed/placer"
 )
 
 // TestTaskEndRedeliveredAfterCorruptMessage checks that the server connects to a node again after it has
@@ -357,18 +355,8 @@
 		load := [...]string{"x0:NaN;x1:NaN", "x0:inf;x1:-inf", "x0:1e308;x1:1e999"}[uid[len(uid)-1]%3]
 		return respond(conn, `{"kind":"stop","uid":%q,"meta":{"load":%q},"reason":16}`+"\n", uid, load)
 	})
-	discovery := startDiscoveryServer(t)
 	settings := strings.Replace(testSettings, `"coresByKind"`, `"counts":"used","coresByKind"`, 1)
-	event := discoveryEventJSON(1, nodeEntryJSON(8, node.addr, "in_service")) // Of node 8, most of the capacity is requested.
-	config, err := ParseConfig(configText(discovery.addr(), 256, event, settings))
-	if err != nil {
-		t.Fatal(err)
-	}
-	policy, err := placer.New(config.Settings.Placer, config.Seed)
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := runServer(t, config, policy)
+	server := startConfiguredServer(t, 256, settings, ownPlacer, nodeEntryJSON(8, node.addr, "in_service")) // Of node 8, most of the capacity is requested.
 	client := server.connect()
 	const taskCount = 60
 	for i := range taskCount {
