A lost task of an unresponsive node is counted once

What operators see: TasksLost counts a task when its node becomes unresponsive, and again when the node is then found dead or reports the task as lost.

Cause: taskController.endTask counted each lost task, whatever was counted before.

Change: a task that is being stopped is not counted again.

Test: TestLostTaskIsCountedOnce, two cases, failed before.

--- a/internal/platform/dispatch/node_registry_test.go
+++ b/internal/platform/dispatch/node_registry_test.go
@@ -156,3 +156,25 @@
 		t.Errorf("the client received %d notifications and %d tasks run, want 1 notification and no running task", notifications, harness.core.RunningTasks())
 	}
 }
+
+// TestLostTaskIsCountedOnce guards against a task that is counted as lost when its node becomes unresponsive, and
+// again when the node is found dead or has lost the task.
+func TestLostTaskIsCountedOnce(t *testing.T) {
+	for name, end := range map[string]func(harness *coreHarness, attempt *Attempt){
+		"node is dead": func(harness *coreHarness, attempt *Attempt) { harness.core.NodeDead(harness.now, attempt.Node) },
+		"node reports the task lost": func(harness *coreHarness, attempt *Attempt) {
+			harness.reportEnd(attempt.Node, attempt.Message.ID, protocol.CauseLost)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness, _, attempt := runningAttempt(t, "seats")
+			harness.core.NodeUnresponsive(harness.now, attempt.Node)
+
+			end(harness, attempt)
+
+			if lost := harness.core.Counts.TasksLost; lost != 1 {
+				t.Errorf("the core counted %d lost tasks, want 1", lost)
+			}
+		})
+	}
+}
--- a/internal/platform/dispatch/task.go
+++ b/internal/platform/dispatch/task.go
@@ -49,10 +49,10 @@
 	req := attempt.request
 	t.attempts.remove(attempt)
 	t.counts.TasksEnded++
-	if outcome.result == placer.Lost {
+	state := req.state
+	if outcome.result == placer.Lost && state != requestStopping { // A task that is being stopped was counted, or its client stops it.
 		t.counts.TasksLost++
 	}
-	state := req.state
 	t.requests.transition(req, requestTerminated)
 	t.notifyOfEnd(req, state, cause)
 	t.attempts.postAttemptEnded(attempt, outcome)
