A completion index waits for the delay after its latest failure

What callers see: a task of a Job fails; before the retry a stray Pod of the index is adopted, and fails too. The index is started at the time of the first retry.

Cause: jobStarter.scheduleRerun sets a second timer, and setRetry forgets the first one without stopping it.

Change: the timer of the earlier retry is stopped.

Test: TestRerunAfterAdoptedTask failed before (started 1.46 s after the second failure, at least 1.575 s wanted).

--- a/internal/kube/engine/job_rerun.go
+++ b/internal/kube/engine/job_rerun.go
@@ -38,6 +38,7 @@
 		at = max(at, s.now+s.cfg.Retry.UnknownOutcomeTimeout)
 	}
 	index := task.index
+	s.stopTimer(job.indexes.at(index).retryTimer) // An adopted task may have run while the index waited for its next start.
 	nextBudget := task.retryBudget
 	if budget == nextBudget {
 		nextBudget--
