A stray task of a completion index that has succeeded does not make the index active

What callers see: an index of a Job has succeeded, and a stray Pod of it is found running; the index is active again and the count of failed indexes becomes negative.

Cause: completionIndexTable.adopt took every finished index for a failed one.

Change: a succeeded index adopts no task; the Pod remains without a Job.

Test: TestStrayTaskOfSucceededIndex failed before (-1 failed and 2 active indexes).

--- a/internal/kube/engine/adoption.go
+++ b/internal/kube/engine/adoption.go
@@ -140,7 +140,7 @@
 		}
 	}
 	index, err := strconv.Atoi(reportedPod.Labels[wellknown.CompletionIndex])
-	if err != nil || index < 0 || index >= job.indexes.len() || job.uid != manifest.UID || job.indexes.at(index).task != nil {
+	if err != nil || index < 0 || index >= job.indexes.len() || job.uid != manifest.UID || !job.indexes.mayAdopt(index) {
 		return
 	}
 	a.adoptIndex(job, index, adoptedTask)
--- a/internal/kube/engine/job_indexes.go
+++ b/internal/kube/engine/job_indexes.go
@@ -38,6 +38,7 @@
 type completionIndex struct {
 	state       indexState
 	task        *task  // the task that the index has at present; nil unless the index is active
+	succeeded   bool   // set once a task of the index has succeeded
 	settled     bool   // set once the final outcome of the index's first task has been counted
 	retryBudget int    // number of retries that the next task of the index may use
 	retryTimer  *timer // fires when the index must be started again
@@ -102,7 +103,13 @@
 	t.entries[i].retryTimer = nil
 }
 
-// adopt assigns an adopted task to a completion index that has no task.
+// mayAdopt reports whether an adopted task may be assigned to a completion index: the index has no task and
+// has not succeeded.
+func (t *completionIndexTable) mayAdopt(i int) bool {
+	return t.entries[i].task == nil && !t.entries[i].succeeded
+}
+
+// adopt assigns an adopted task to a completion index for which mayAdopt returns true.
 func (t *completionIndexTable) adopt(i int, task *task) {
 	if t.entries[i].state == indexFinished {
 		t.failedIndexes--
@@ -151,6 +158,7 @@
 // succeed finishes a completion index whose task has succeeded.
 func (t *completionIndexTable) succeed(i int) {
 	t.succeededTasks++
+	t.entries[i].succeeded = true
 	t.setState(i, indexFinished)
 }
 
--- a/internal/kube/engine/job_rerun_test.go
+++ b/internal/kube/engine/job_rerun_test.go
@@ -45,3 +45,36 @@
 		t.Errorf("the index was started %.2f s after the second failure, want at least %.2f s and less than 10 s", restartedAt-secondFailure, shortestSecondDelay)
 	}
 }
+
+// TestStrayTaskOfSucceededIndex guards against a Job whose count of failed indexes is wrong: a stray task of a
+// completion index that has succeeded is found running.
+func TestStrayTaskOfSucceededIndex(t *testing.T) {
+	engine := newEngine(t)
+	createJobOnOneNode(t, engine, 2) // The second task keeps the Job running.
+	var attempts []Effect
+	now := tickUntil(engine, createdAt, createdAt+1, func() bool {
+		attempts = append(attempts, takeAttempts(engine)...)
+		return len(attempts) == 2
+	})
+	first := attempts[0]
+	for i, attempt := range attempts {
+		engine.AttemptDone(now, AttemptAnswer{UID: attempt.UID, Attempt: attempt.Attempt, Node: nodeName, Accepted: true, Incarnation: "a", Revision: int64(2 + i)})
+	}
+	succeeded := first.Pod.DeepCopy()
+	succeeded.Status.Phase = corev1.PodSucceeded
+	engine.PodChanged(now, nodeName, succeeded, false)
+	stray := first.Pod.DeepCopy()
+	stray.UID, stray.Name = "stray", "stray"
+	stray.Status.Phase = corev1.PodRunning
+
+	engine.PodChanged(now+0.5, nodeName, stray, false)
+
+	job := engine.jobs.get(defaultNamespace + "/" + jobName)
+	if engine.Stats.Recovered != 1 || job.indexes.failedIndexes != 0 || job.indexes.succeededTasks != 1 || job.indexes.activeIndexes != 1 {
+		t.Errorf("got %d adopted tasks, %d failed, %d succeeded and %d active indexes; want 1, 0, 1 and 1",
+			engine.Stats.Recovered, job.indexes.failedIndexes, job.indexes.succeededTasks, job.indexes.activeIndexes)
+	}
+	if err := engine.CheckInvariants(); err != nil {
+		t.Error(err)
+	}
+}
