A client that has acknowledged the end of a migrated task is not told of it again

What callers see: the connection of a `migrate` closes, the client gets `stop` on the next one and acknowledges it, and gets it once more when that connection closes within a second.

Cause: a Migrate message that was sent again as a Stop message still counted as one that clients never acknowledge.

Change: what counts is the message that was sent last.

The harness takes every end that a node reports out of the tasks that run there.

--- a/internal/platform/dispatch/harness_test.go
+++ b/internal/platform/dispatch/harness_test.go
@@ -146,9 +146,6 @@
 }
 
 func (harness *coreHarness) receiveFromNode(attempt *Attempt, msg protocol.Message) []Effect {
-	if msg.Kind == protocol.Stop {
-		delete(harness.running, attemptKey{attempt.Node, msg.ID})
-	}
 	harness.receiveNodeMessage(attempt.Node, &msg)
 	return harness.carryOutEffects()
 }
@@ -169,6 +166,9 @@
 
 // receiveNodeMessage passes a message of a node, all figures of which are valid, to the core.
 func (harness *coreHarness) receiveNodeMessage(node placer.NodeID, msg *protocol.Message) {
+	if msg.Kind == protocol.Stop {
+		delete(harness.running, attemptKey{node, msg.ID})
+	}
 	if err := harness.core.ReceiveFromNode(harness.now, node, msg); err != nil {
 		harness.t.Fatalf("core left out a part of message %v of a node: %v, want no error", msg, err)
 	}
--- a/internal/platform/dispatch/notification.go
+++ b/internal/platform/dispatch/notification.go
@@ -52,11 +52,11 @@
 // add adds a notification that was sent, and removes the notifications that have expired. A notification of
 // the end of a task replaces an earlier Migrate message about the task: it says all that the client needs.
 func (l *deliveryLog) add(now placer.Seconds, notice notification) {
-	if notice.message.Kind == protocol.Migrate {
+	notice.sentAsMigration = notice.message.Kind == protocol.Migrate
+	if notice.sentAsMigration {
 		// A Migrate message is redelivered as a Stop message that reports the end of the task. A client that
 		// received the Migrate message ignores the Stop message.
 		notice.message = replyTo(&notice.message, protocol.Stop, protocol.CauseCancelled)
-		notice.sentAsMigration = true
 	}
 	l.unacknowledgedNotifications = slices.DeleteFunc(l.unacknowledgedNotifications, func(entry notification) bool {
 		isReplaced := entry.sentAsMigration && entry.message.ID == notice.message.ID
--- a/internal/platform/dispatch/notification_test.go
+++ b/internal/platform/dispatch/notification_test.go
@@ -139,6 +139,28 @@
 	}
 }
 
+// TestAcknowledgedMigrationIsNotRedelivered guards against a repeat of what a client has acknowledged: a Migrate
+// message that is sent again as a Stop message is acknowledged like any Stop message.
+func TestAcknowledgedMigrationIsNotRedelivered(t *testing.T) {
+	harness, _, attempt := runningAttempt(t, "seats")
+	harness.migrateTask(attempt)
+	harness.answerCheck(attempt)
+	harness.reportEnd(attempt.Node, attempt.Message.ID, protocol.CauseCancelled)
+	harness.core.ClientDisconnected(harness.now, attempt.ClientConn())
+	secondConn := harness.connect()
+	harness.receiveFromClient(secondConn, launchMessage(98))
+	harness.core.Ready()
+	harness.receiveFromClient(secondConn, newMessage(protocol.Stopped, attempt.Message.ID, noCause))
+	harness.core.ClientDisconnected(harness.now, secondConn)
+
+	thirdConn := harness.connect()
+	harness.receiveFromClient(thirdConn, launchMessage(99))
+
+	if got := notifiedConns(harness); len(got) != 0 {
+		t.Errorf("client was notified on connections %v after it had acknowledged the notification, want none", got)
+	}
+}
+
 // TestLateNotificationRedelivered guards against a notification that is sent late, or again, and is lost with
 // its connection: what counts is how long it was on that connection, not how old it is. It must be sent on
 // each new connection until one of them stays open.
