Notifications about one task replace each other while they wait and after they were sent

What callers see: a client whose connections close around a migration gets two `stop` for the task on its next connection, where both the repeated `migrate` and the `stop` that follows it wait or were sent on the connection that closed.

Cause: the pending notifications, and the log of a connection, kept both.

Change: a later notification about a task replaces the earlier one in both lists.

Test: TestMigrationEndIsRedeliveredOnce, two cases, failed before.

--- a/internal/platform/dispatch/notification.go
+++ b/internal/platform/dispatch/notification.go
@@ -49,8 +49,8 @@
 	unacknowledgedNotifications []notification // The client has not acknowledged these notifications.
 }
 
-// add adds a notification that was sent, and removes the notifications that have expired. A notification of
-// the end of a task replaces an earlier Migrate message about the task: it says all that the client needs.
+// add adds a notification that was sent, and removes the notifications that have expired. It replaces an earlier
+// notification about the same task: the later one says all that the client needs.
 func (l *deliveryLog) add(now placer.Seconds, notice notification) {
 	notice.sentAsMigration = notice.message.Kind == protocol.Migrate
 	if notice.sentAsMigration {
@@ -59,8 +59,7 @@
 		notice.message = replyTo(&notice.message, protocol.Stop, protocol.CauseCancelled)
 	}
 	l.unacknowledgedNotifications = slices.DeleteFunc(l.unacknowledgedNotifications, func(entry notification) bool {
-		isReplaced := entry.sentAsMigration && entry.message.ID == notice.message.ID
-		return isReplaced || entry.expiresAt <= now
+		return entry.message.ID == notice.message.ID || entry.expiresAt <= now
 	})
 	l.unacknowledgedNotifications = append(l.unacknowledgedNotifications, notice)
 }
@@ -119,6 +118,7 @@
 		return
 	}
 	n.counts.PendingNotifications++
+	n.pendingNotifications = slices.DeleteFunc(n.pendingNotifications, func(pending notification) bool { return pending.message.ID == notice.message.ID })
 	n.pendingNotifications = append(n.pendingNotifications, notice)
 }
 
--- a/internal/platform/dispatch/notification_test.go
+++ b/internal/platform/dispatch/notification_test.go
@@ -139,6 +139,35 @@
 	}
 }
 
+// TestMigrationEndIsRedeliveredOnce guards against two notifications of one end: the Migrate message is sent
+// again as a Stop message, a Stop message follows it on the same or on no connection, and that connection closes.
+func TestMigrationEndIsRedeliveredOnce(t *testing.T) {
+	for name, connectsBeforeStop := range map[string]bool{"both were sent on one connection": true, "both wait for a connection": false} {
+		t.Run(name, func(t *testing.T) {
+			harness, _, attempt := runningAttempt(t, "seats")
+			harness.migrateTask(attempt)
+			harness.answerCheck(attempt)
+			harness.answerCheck(attempt)
+			harness.core.ClientDisconnected(harness.now, attempt.ClientConn())
+			if connectsBeforeStop {
+				harness.receiveFromClient(harness.connect(), launchMessage(98))
+			}
+			harness.advanceClock(migratedEndTimeout)
+			if connectsBeforeStop {
+				harness.core.ClientDisconnected(harness.now, harness.lastConn)
+			}
+			harness.core.Ready()
+
+			lastConn := harness.connect()
+			harness.receiveFromClient(lastConn, launchMessage(99))
+
+			if got := notifiedConns(harness); !slices.Equal(got, []ConnID{lastConn}) {
+				t.Errorf("client was notified on connections %v, want once on connection %d", got, lastConn)
+			}
+		})
+	}
+}
+
 // TestAcknowledgedMigrationIsNotRedelivered guards against a repeat of what a client has acknowledged: a Migrate
 // message that is sent again as a Stop message is acknowledged like any Stop message.
 func TestAcknowledgedMigrationIsNotRedelivered(t *testing.T) {
