A silent connection to a node is no reason to close a working one as idle

What callers would see: a working connection to a node that runs tasks carries no attempt for a while, a newer connection is silent; the working one is closed as idle, and until the silent one is replaced, for up to 8 s, no end of a task arrives.

Change: MultiplexedPolicy.Compare, which was Supersede, sets it: another connection that is not silent.

Test: TestSilentConnectionIsNoAlternative, which fails when each other connection counts. Golden files are as before.

--- a/internal/control/connpool/keepalive.go
+++ b/internal/control/connpool/keepalive.go
@@ -28,14 +28,14 @@
 type ConnState struct {
 	PendingRequests int           // PendingRequests is the number of requests on the connection that the node has not answered.
 	RunsTasks       bool          // RunsTasks means that the node runs tasks and will report when they end.
-	HasAlternative  bool          // HasAlternative means that there is another connection to the same node.
+	HasAlternative  bool          // HasAlternative means that another connection to the same node is not silent; see Compare.
 	LastSent        clock.Instant // LastSent is when a request was last sent on the connection.
 	LastReceived    clock.Instant // LastReceived is when any data last arrived on the connection.
 	HealthCheckSent clock.Instant // HealthCheckSent is when the unanswered health check was sent, or zero if no health check is unanswered.
 	IncompleteSince clock.Instant // IncompleteSince is when the first part of an incomplete message arrived, or zero if no message is incomplete.
 	OpenedAt        clock.Instant // OpenedAt is when the connection was established.
 	AnsweredAt      clock.Instant // AnsweredAt is when the first data arrived on the connection, or zero if none has arrived.
-	Superseded      bool          // Superseded means that a newer connection to the same node works; see Supersede.
+	Superseded      bool          // Superseded means that a newer connection to the same node works; see Compare.
 }
 
 // Usable reports whether requests may be sent on the connection. A connection that awaits the answer to a
--- a/internal/control/connpool/silence.go
+++ b/internal/control/connpool/silence.go
@@ -24,13 +24,16 @@
 	return !s.HealthCheckSent.IsZero() && now.Sub(s.HealthCheckSent) > p.HealthCheckTimeout
 }
 
-// Supersede sets Superseded in the states of the connections to one node. A connection is superseded when a
-// connection that was opened later has worked for HealthCheckTimeout, so that a node that only hung has had
-// the time to answer on the older one as well.
-func (p MultiplexedPolicy) Supersede(now clock.Instant, conns []*ConnState) {
+// Compare sets HasAlternative and Superseded in the states of the connections to one node. A connection has an
+// alternative if another one is not silent. It is superseded when a connection that was opened later has worked
+// for HealthCheckTimeout, so that a node that only hung has had the time to answer on the older one as well.
+func (p MultiplexedPolicy) Compare(now clock.Instant, conns []*ConnState) {
 	for _, s := range conns {
-		s.Superseded = false
+		s.HasAlternative, s.Superseded = false, false
 		for _, other := range conns {
+			if other != s && !p.Silent(now, *other) {
+				s.HasAlternative = true
+			}
 			isNewer := other.OpenedAt > s.OpenedAt && !other.AnsweredAt.IsZero()
 			if isNewer && !p.Silent(now, *other) && now.Sub(other.AnsweredAt) > p.HealthCheckTimeout {
 				s.Superseded = true
--- a/internal/control/connpool/silence_test.go
+++ b/internal/control/connpool/silence_test.go
@@ -19,6 +19,22 @@
 	return state
 }
 
+// TestSilentConnectionIsNoAlternative guards against a working connection that is closed as idle because a silent
+// one is open.
+func TestSilentConnectionIsNoAlternative(t *testing.T) {
+	policy := MultiplexedPolicy{MaxIdle: 5 * time.Second, HealthCheckAfter: time.Second, HealthCheckTimeout: 500 * time.Millisecond}
+	for name, otherIsSilent := range map[string]bool{"other connection is silent": true, "other connection works": false} {
+		t.Run(name, func(t *testing.T) {
+			idle, other := connStateAt(90, 90, false), connStateAt(98, 98, otherIsSilent)
+			idle.LastSent, idle.LastReceived = instantAt(90), instantAt(99.5)
+			policy.Compare(instantAt(100), []*ConnState{idle, other})
+			if closesIdle := policy.KeepAlive(instantAt(100), *idle) == CloseIdle; closesIdle == otherIsSilent {
+				t.Errorf("the idle connection is closed: got %v, want %v", closesIdle, !otherIsSilent)
+			}
+		})
+	}
+}
+
 // TestSilentConnections checks which connections to a node that does not answer are kept, and when another one
 // is opened.
 func TestSilentConnections(t *testing.T) {
@@ -44,7 +60,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			now := instantAt(100)
-			policy.Supersede(now, test.conns)
+			policy.Compare(now, test.conns)
 			for i, state := range test.conns {
 				if state.Superseded != test.superseded[i] {
 					t.Errorf("connection %d: got superseded %v, want %v", i, state.Superseded, test.superseded[i])
--- a/internal/platform/server/node_link.go
+++ b/internal/platform/server/node_link.go
@@ -252,12 +252,11 @@
 // maintainConns applies the keep-alive policy to each established connection to the node.
 func (link *nodeLink) maintainConns(now clock.Instant) {
 	policy := link.server.nodes.keepAlive
-	policy.Supersede(now, link.connStates())
+	policy.Compare(now, link.connStates())
 	expendable := policy.Expendable(now, link.connStates())
 	for _, nc := range slices.Clone(link.conns) {
 		nc.keepAlive.PendingRequests = len(nc.attempts)
 		nc.keepAlive.RunsTasks = link.hasTasks
-		nc.keepAlive.HasAlternative = len(link.conns) > 1
 		switch policy.KeepAlive(now, nc.keepAlive) {
 		case connpool.SendHealthCheck:
 			nc.sendHealthCheck()
